--- /dev/null
+++ b/lichencleat/__init__.py
@@ -0,0 +1,1 @@
+"""Admission and scheduling for servers behind others' balancers."""
--- /dev/null
+++ b/lichencleat/benchlink/__main__.py
@@ -0,0 +1,21 @@
+"""`python -m lichencleat.benchlink`: reads batches on standard input and answers each on standard output."""
+
+import sys
+
+from lichencleat.benchlink.wire import BadInputError, Wire
+
+
+def main() -> int:
+    wire = Wire()
+    for number, line in enumerate(sys.stdin, 1):
+        try:
+            reply = wire.answer(line)
+        except BadInputError as bad:
+            print(f"benchlink: line {number}: {bad}", file=sys.stderr)
+            return 2
+        sys.stdout.write(reply)
+        sys.stdout.flush()
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/lichencleat/benchlink/wire.py
@@ -0,0 +1,296 @@
+"""Decodes batches into calls of the decisions, and encodes what they decide."""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import traceback
+from collections.abc import Callable
+from typing import Any
+from weakref import WeakKeyDictionary, WeakValueDictionary
+
+from lichencleat.decide import Node
+from lichencleat.terms import (
+    Act,
+    Below,
+    Customer,
+    Decision,
+    Effect,
+    Gauges,
+    Halt,
+    Inquiry,
+    Machine,
+    Outcome,
+    Tariff,
+    Told,
+)
+
+EFFECTS = {"free": Effect.PURE, "guarded": Effect.RECEIPTED, "single_shot": Effect.EFFECTFUL}
+HALTS = {"none": Halt.NONE, "abort": Halt.DROP, "suspend": Halt.PAUSE}
+TOLD = {"none": Told.NOTHING, "threshold": Told.LEVEL, "window": Told.WINDOW, "share_of": Told.CHANCE}
+BELOW = {"none": Below.NOTHING, "shared": Below.SHARED, "tier": Below.TIER}
+OUTCOMES = {
+    "completed": Outcome.COMPLETED,
+    "errored": Outcome.ERRED,
+    "saturated": Outcome.TURNED_AWAY,
+    "overdue": Outcome.OVERDUE,
+    "refused_conn": Outcome.UNREACHED,
+    "severed": Outcome.CUT,
+    "recalled": Outcome.STOPPED,
+    "superseded": Outcome.VOID,
+}
+GAUGES = {
+    "cpu_busy": "busy",
+    "runnable": "wanting_core",
+    "mem_used": "memory",
+    "sockets": "connections",
+}
+HINTED, FURTHER_TRY = 1, 2  # bits of an inquiry's marks
+
+
+class BadInputError(Exception):
+    """A line that is not what the wire allows; its text says what and where."""
+
+
+def micros(seconds: float | None) -> int:
+    return round((seconds or 0) * 1_000_000)
+
+
+def seconds(span: int) -> float:
+    return span / 1_000_000
+
+
+def choose(table: dict[str, Any], name: Any, default: Any, where: str) -> Any:
+    if name is None:
+        return default
+    if name not in table:
+        raise BadInputError(f"{where}: unknown value {name!r}")
+    return table[name]
+
+
+def decode_machine(told: dict) -> Machine:
+    """The machine as the settings tell it; keys that are not known here are passed over."""
+    own = told.get("specifics") or {}
+    rules = told.get("invariants") or {}
+    allowed = told.get("allowed") or {}
+    calls, without = own.get("classCalls") or [], own.get("classSkipWorth") or []
+    tariffs = [
+        Tariff(
+            name=each["name"],
+            effect=choose(EFFECTS, each.get("effect"), Effect.PURE, "classes[].effect"),
+            soft_limit=micros(each.get("aim") or each.get("deadline")),
+            hard_limit=micros(each.get("deadline")),
+            payoff=each.get("worth") or 0.0,
+            late_payoff=each.get("lateWorth") or 0.0,
+            window=micros(each.get("window")),
+            calls=bool(calls[at]) if at < len(calls) else False,
+            payoff_without_call=(without[at] or 0.0) if at < len(without) else 0.0,
+        )
+        for at, each in enumerate(told.get("classes") or [])
+    ]
+    beyond = told.get("overShareWorth")
+    return Machine(
+        cores=int(own.get("cores") or 1),
+        memory_kb=own.get("memoryKb") or 0.0,
+        run_factor=own.get("blowup") or 1.0,
+        receipt_kb=own.get("entryKb") or 0.0,
+        crowd=rules.get("tipMultiple") or 2.0,
+        cold=bool(own.get("cold")),
+        cold_share=rules.get("coldFrom") or 1.0,
+        warm_after=micros(rules.get("cold")),
+        halt=choose(HALTS, own.get("halt"), Halt.NONE, "specifics.halt"),
+        told=choose(TOLD, own.get("advert"), Told.NOTHING, "specifics.advert"),
+        told_kept=micros(own.get("heeded")),
+        callers=int(own.get("callers") or 1),
+        advice_most=micros(allowed.get("maxRetryAfter")),
+        below=choose(BELOW, own.get("below"), Below.NOTHING, "specifics.below"),
+        calls_share=own.get("callsOut") or 0.0,
+        calls_span=micros(own.get("depWindow")),
+        call_lingers=micros(own.get("lingers")),
+        shares_answers=bool(own.get("fresh")),
+        grace=micros(rules.get("stopSendingWithin")),
+        slack=micros(rules.get("answerSlack")),
+        resolution=micros(told.get("resolution")),
+        nodes=int(told.get("servers") or 1),
+        beyond_share=1.0 if beyond is None else beyond,
+        list_follows_health=bool(own.get("listFollows")),
+        tariffs=tariffs,
+        customers=[Customer(each["name"], each.get("quotaPerS") or 0.0) for each in told.get("orgs") or []],
+    )
+
+
+class Instance:
+    """One node: its decisions, and the names under which the wire knows what they speak of."""
+
+    def __init__(self, seed: int, told: dict) -> None:
+        machine = decode_machine(told)
+        own = told.get("specifics") or {}
+        self.tariffs = {each.name: each for each in machine.tariffs}
+        self.customers = {each.name: each for each in machine.customers}
+        self.passes_limit = bool(own.get("passesDeadline"))
+        self.gauges = [GAUGES.get(name) for name in own.get("gauges") or []]
+        self.inquiries: WeakValueDictionary[str, Inquiry] = WeakValueDictionary()
+        self.ids: WeakKeyDictionary[Inquiry, str] = WeakKeyDictionary()
+        self.node = Node(machine, random.Random(seed))
+        self.inputs: dict[str, Callable] = {
+            "inbound": self.inbound,
+            "settled": self.settled,
+            "blocked": self.blocked,
+            "called": self.called,
+            "clientLeft": self.client_left,
+            "notice": lambda now, left: self.node.must_leave(now, now + micros(left)),
+            "fired": self.fired,
+        }
+
+    def inbound(self, now: int, corr: str, qos: str, *rest: Any) -> None:
+        rest += (None,) * (10 - len(rest))
+        place, who, repeat_of, org, _subject, marks, cost, left, size, backlog = rest[:10]
+        if qos not in self.tariffs:
+            raise BadInputError(f"inbound {corr!r}: unknown class {qos!r}")
+        tariff, arrived = self.tariffs[qos], now - micros(backlog)
+        due = now + micros(left) if self.passes_limit and left else arrived + tariff.hard_limit
+        inquiry = Inquiry(
+            tariff=tariff,
+            arrived=arrived,
+            due=max(due, now),
+            place=place or 0.0,
+            caller=who or 0,
+            customer=self.customers.get(org) if org else None,
+            repeats=self.inquiries.get(repeat_of) if repeat_of else None,
+            repeats_unknown=bool(repeat_of) and repeat_of not in self.inquiries,
+            further_try=bool((marks or 0) & FURTHER_TRY),
+            cost=micros(cost) if (marks or 0) & HINTED else 0,
+            size_kb=size or 0.0,
+        )
+        self.inquiries[corr] = inquiry
+        self.ids[inquiry] = corr
+        self.node.arrives(now, inquiry)
+
+    def settled(self, now: int, corr: str, status: str, lag: float | None = None) -> None:
+        inquiry = self.inquiries.get(corr)
+        if inquiry is not None:
+            self.node.run_ended(now, inquiry, choose(OUTCOMES, status, None, "settled"), micros(lag))
+
+    def blocked(self, now: int, corr: str) -> None:
+        inquiry = self.inquiries.get(corr)
+        if inquiry is not None:
+            self.node.wants_call(now, inquiry)
+
+    def called(self, now: int, corr: str, status: str, lag: float | None = None) -> None:
+        inquiry = self.inquiries.get(corr)
+        if inquiry is not None:
+            self.node.call_ended(now, inquiry, choose(OUTCOMES, status, None, "called"), micros(lag))
+
+    def client_left(self, now: int, corr: str) -> None:
+        inquiry = self.inquiries.get(corr)
+        if inquiry is not None:
+            self.node.caller_left(now, inquiry)
+
+    def fired(self, now: int, _tag: str, row: list | None = None) -> None:
+        named = zip(self.gauges, row or [], strict=False)
+        self.node.wakes(now, Gauges(**{name: value for name, value in named if name}))
+
+    def take(self, now: int, event: list) -> None:
+        name, *values = event
+        if name not in self.inputs:
+            raise BadInputError(f"unknown event {name!r}")
+        try:
+            self.inputs[name](now, *values)
+        except TypeError as wrong:
+            if wrong.__traceback__ is not None and wrong.__traceback__.tb_next is None:
+                raise BadInputError(f"{name}: values missing or too many: {values!r}") from wrong
+            raise
+
+    def decisions(self, now: int) -> list[list]:
+        outbox = []
+        while (decision := self.node.next_decision(now)) is not None:
+            outbox.append(self.encode(decision))
+        return outbox
+
+    def encode(self, decision: Decision) -> list:
+        name = WORDS[decision.act]
+        if decision.inquiry is not None:
+            values: list = [self.ids[decision.inquiry]]
+            if decision.act is Act.DEFER:
+                values += [seconds(decision.span), decision.flag]
+            elif decision.act in (Act.CALL, Act.RECORD):
+                values.append(seconds(decision.span))
+        elif decision.act is Act.HEALTH:
+            values = [decision.flag, True]
+        elif decision.act is Act.TELL:
+            values = [decision.amount]
+        elif decision.act is Act.WAKE:
+            values = [seconds(decision.span), "wake"]
+        else:
+            values = [decision.text]
+        return [name, *values]
+
+
+WORDS = {
+    Act.START: "admit",
+    Act.STOP: "suspend",
+    Act.DEFER: "bounce",
+    Act.GIVE_UP: "giveUp",
+    Act.CALL: "askBelow",
+    Act.OMIT_CALL: "fallBack",
+    Act.RECORD: "pin",
+    Act.STRIKE: "erase",
+    Act.SHARE: "join",
+    Act.HEALTH: "reportHealth",
+    Act.TELL: "publish",
+    Act.WAKE: "notifyMe",
+    Act.NOTE: "trace",
+}
+
+
+class Wire:
+    """All the instances of this process, by the numbers that the wire gives them."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+
+    def answer(self, line: str) -> str:
+        try:
+            batch = json.loads(line)
+        except ValueError as wrong:
+            raise BadInputError(f"not JSON: {wrong}") from wrong
+        if not isinstance(batch, dict):
+            raise BadInputError("a batch must be an object")
+        for key, kind in (("clock", (int, float)), ("turn", int), ("nodes", list)):
+            if not isinstance(batch.get(key), kind):
+                raise BadInputError(f"a batch needs {key!r}, got {batch.get(key)!r}")
+        now, nodes = micros(batch["clock"]), []
+        for entry in batch["nodes"]:
+            if not isinstance(entry, dict) or "who" not in entry or not isinstance(entry.get("inbox"), list):
+                raise BadInputError(
+                    f"turn {batch['turn']}: a node needs 'who' and 'inbox', got {entry!r:.200}"
+                )
+            try:
+                outbox = self.inbox(now, entry["who"], entry["inbox"])
+            except BadInputError as bad:
+                raise BadInputError(f"turn {batch['turn']}, node {entry['who']}: {bad}") from bad
+            except Exception as failure:
+                traceback.print_exc(file=sys.stderr)
+                outbox = [["panic", f"{type(failure).__name__}: {failure}"]]
+            if outbox:
+                nodes.append({"who": entry["who"], "outbox": outbox})
+        return json.dumps({"turn": batch["turn"], "nodes": nodes}, separators=(",", ":")) + "\n"
+
+    def inbox(self, now: int, who: int, events: list) -> list[list]:
+        for event in events:
+            if not isinstance(event, list) or not event or not isinstance(event[0], str):
+                raise BadInputError(
+                    f"an event must be an array that begins with its name, got {event!r:.200}"
+                )
+            if event[0] == "openInstance":
+                if len(event) < 3 or not isinstance(event[2], dict):
+                    raise BadInputError("openInstance: needs a seed and the settings")
+                self.instances[who] = Instance(event[1], event[2])
+            elif who not in self.instances:
+                raise BadInputError(f"{event[0]}: no such instance")
+            elif event[0] == "exit":
+                del self.instances[who]
+            else:
+                self.instances[who].take(now, event)
+        return self.instances[who].decisions(now) if who in self.instances else []
--- /dev/null
+++ b/lichencleat/decide.py
@@ -0,0 +1,453 @@
+"""The decisions of one node: what it holds, runs, defers, gives up, calls below and tells its callers.
+
+A host makes one `Node` at each start, tells it what happens (`arrives`, `run_ended`, `wants_call`,
+`call_ended`, `caller_left`, `must_leave`, `wakes`), which only updates what is known, and after each lot
+pulls `next_decision` until it gives None. The types of that interface stand in `lichencleat/terms.py`.
+
+The design (docs/design.md) decides the ordinary path: a cap on held and running inquiries, moved each
+period by integral feedback on the length of the hold, and a running limit. Beside it stand:
+  1. the due guard: every answer goes out a period before it is due, running work included;
+  2. the receipt table: a receipted inquiry runs once, and its repeats share that run;
+  3. room: memory, and the crowd that may come back to the cores at once, less while cold;
+  4. calls: a bound on those in hand, let out by payoff, repeated only if known not to have run;
+  5. late work: what cannot end within its soft limit is not begun, and a stalled node passes work on;
+  6. what callers are told: to stay away, and the free value.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from statistics import median
+
+from lichencleat.terms import (
+    Act,
+    Below,
+    Decision,
+    Effect,
+    Gauges,
+    Halt,
+    Inquiry,
+    Machine,
+    Outcome,
+    State,
+    Told,
+)
+
+PERIOD = 100_000  # µs: a tenth of the shortest wait that matters, and ten wake-ups a second cost little
+GAIN = (
+    0.2  # cap per held inquiry and period: low, as the paper prefers; the cap crosses its range in a second
+)
+CLIMB = 2  # running limit per period: doubles a six-core limit in a third of a second
+CROWDED = 1.34  # wanting a core, per core: beyond a third more than cores, more runs only slow each other
+CROWD_PART = 0.6  # of the crowd a node survives: what waits on calls may come back to the cores at once
+MEMORY_PART = 0.85  # of the memory: leaves room for what is being read while decisions are made
+CALLS_PART = 0.7  # of this node's part of what the dependency survives: cold nodes call more, calls linger
+CALL_TRIES = 4  # of one call: further ones have cost more than the answer is worth
+CALL_PAUSE = (
+    50_000  # µs before a call that never ran is tried again: lets the layer below take in its answers
+)
+RUNS_KEPT = 32  # last run times: a few seconds' worth on a busy node
+STALL_LEAST = 700_000  # µs without any progress on full cores: far over the gap between two ends of runs
+STALL_RUNS = 3  # median run times without progress
+FULL_LONG = 1_000_000  # µs of a full hold before the newest go first: several turns of the hold
+TOLD_UP = 0.08  # free value, per period with deferrals: callers hear it about once a second
+TOLD_DOWN = 0.02  # per period without: gentler, so that the load does not come back in one wave
+TOLD_MOST = 0.85  # leaves the best-paid callers a way in
+ADVICE = 300_000  # µs to stay away when full: a few run times, the hold will have turned over
+LEAVE_MARGIN = 300_000  # µs before the stop by which all is answered: three wake-ups
+
+
+class Node:
+    def __init__(self, machine: Machine, chance: random.Random) -> None:
+        self.chance = chance
+        self.cores = machine.cores
+        self.memory_kb = machine.memory_kb * MEMORY_PART or float("inf")
+        self.run_factor, self.receipt_kb = machine.run_factor, machine.receipt_kb
+        self.crowd = machine.crowd
+        self.cold_from = machine.cold_share if machine.cold else 1.0
+        self.warm_after = machine.warm_after if machine.cold else 0
+        self.can_stop = machine.halt is not Halt.NONE
+        self.told, self.callers = machine.told, machine.callers
+        self.advice_most = machine.advice_most
+        self.calls_most = self.call_bound(machine)
+        self.grace, self.resolution = machine.grace, machine.resolution
+        self.guard = PERIOD + 2 * machine.resolution  # an answer due sooner than this goes out now
+        self.started_at: int | None = None
+        # the design's loop
+        self.reference = float(machine.cores)
+        self.limit = float(machine.cores)
+        self.cap = 2.0 * machine.cores
+        self.next_sample = 0
+        # what is in hand, each in the order in which it came there
+        self.new: dict[Inquiry, None] = {}
+        self.held: dict[Inquiry, None] = {}
+        self.running: dict[Inquiry, None] = {}
+        self.asking: dict[Inquiry, None] = {}
+        self.calling: dict[Inquiry, None] = {}
+        self.sharing: dict[Inquiry, None] = {}
+        self.to_stop: dict[Inquiry, None] = {}
+        self.receipts: dict[Inquiry, int] = {}  # until when each entry lives
+        # what is known
+        self.gauges = Gauges()
+        self.run_times: deque[int] = deque(maxlen=RUNS_KEPT)
+        self.call_times: deque[int] = deque(maxlen=RUNS_KEPT)
+        self.progress_at = 0
+        self.full_since: int | None = None
+        self.deferred_lately = 0
+        self.leaves_at: int | None = None
+        self.no_run_after: int | None = None
+        self.healthy = self.said_healthy = True
+        self.ease = 0.0  # share of their load that callers are asked to keep back
+        self.said = -1.0
+        self.wake_at = 0
+
+    def call_bound(self, machine: Machine) -> float:
+        if machine.below is Below.SHARED and machine.calls_share:
+            return max(1.0, machine.calls_share * CALLS_PART)
+        return float("inf")
+
+    # --- inputs: they only update what is known ---
+
+    def arrives(self, now: int, inquiry: Inquiry) -> None:
+        self.began(now)
+        self.new[inquiry] = None
+
+    def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
+        if outcome is Outcome.COMPLETED and inquiry in self.running:
+            self.run_times.append(took)
+        if outcome in (Outcome.COMPLETED, Outcome.ERRED):
+            inquiry.answered = True
+        inquiry.succeeded = outcome is Outcome.COMPLETED
+        self.progress_at = now
+        self.leave(inquiry)
+        if not inquiry.answered and outcome is Outcome.STOPPED:
+            inquiry.stopped = True
+            self.held[inquiry] = None
+            inquiry.state = State.HELD
+        else:
+            inquiry.state = State.ENDED
+
+    def wants_call(self, now: int, inquiry: Inquiry) -> None:
+        self.progress_at = now
+        self.move(inquiry, self.asking, State.ASKING)
+        inquiry.call_after, inquiry.calls_failed = now, 0
+
+    def call_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
+        if inquiry not in self.calling:
+            return
+        self.call_times.append(took)
+        if outcome is Outcome.COMPLETED:
+            self.move(inquiry, self.running, State.RUNNING)
+            return
+        self.move(inquiry, self.asking, State.ASKING)
+        never_ran = outcome in (Outcome.TURNED_AWAY, Outcome.UNREACHED)
+        inquiry.calls_failed += 1 if never_ran or inquiry.tariff.effect is Effect.PURE else CALL_TRIES
+        inquiry.call_after = now + CALL_PAUSE * inquiry.calls_failed
+
+    def caller_left(self, now: int, inquiry: Inquiry) -> None:
+        inquiry.answered = True
+        if inquiry in self.running:
+            self.to_stop[inquiry] = None
+        elif inquiry.state in (State.HELD, State.SHARING):
+            self.leave(inquiry)
+            inquiry.state = State.ENDED
+
+    def must_leave(self, now: int, at: int) -> None:
+        self.began(now)
+        self.leaves_at = at - LEAVE_MARGIN
+        self.no_run_after = now + self.grace
+        self.healthy = False
+        for inquiry in (*self.new, *self.held, *self.running, *self.asking, *self.calling, *self.sharing):
+            inquiry.due = min(inquiry.due, self.leaves_at + self.guard)
+
+    def wakes(self, now: int, gauges: Gauges) -> None:
+        self.gauges = gauges
+        if now >= self.wake_at:
+            self.wake_at = 0
+
+    def began(self, now: int) -> None:
+        if self.started_at is None:
+            self.started_at = self.progress_at = now
+
+    # --- figures worked out when needed ---
+
+    def share_of_speed(self, now: int) -> float:
+        """At least this much of full speed, after a cold start."""
+        age = now - (now if self.started_at is None else self.started_at)
+        if age >= self.warm_after:
+            return 1.0
+        return self.cold_from + (1 - self.cold_from) * age / self.warm_after
+
+    def crowd_bound(self, now: int) -> float:
+        return self.cores * (1 + (self.crowd - 1) * self.share_of_speed(now)) * CROWD_PART
+
+    def in_hand(self) -> int:
+        return len(self.held) + len(self.running)
+
+    def used_kb(self) -> float:
+        ran: Iterable[Inquiry] = (*self.running, *self.asking, *self.calling)
+        waiting: Iterable[Inquiry] = (*self.new, *self.held, *self.sharing)
+        return (
+            sum(each.size_kb for each in ran) * self.run_factor
+            + sum(each.size_kb for each in waiting)
+            + len(self.receipts) * self.receipt_kb
+        )
+
+    def run_time(self) -> float:
+        return median(self.run_times) if self.run_times else 0.0
+
+    def busy(self) -> bool:
+        return len(self.running) >= self.cores or (self.gauges.busy or 0.0) > 0.9
+
+    def stalled(self, now: int) -> bool:
+        """No run ended or reached a call for long, though the cores have work: a hang, or all but one.
+
+        Guards against any standstill, whatever its cause. It does harm where the few inquiries that run are
+        all many times the usual size: arrivals then go elsewhere until one of them ends.
+        """
+        long = max(STALL_LEAST, STALL_RUNS * self.run_time())
+        return len(self.running) >= self.cores and now - self.progress_at > long
+
+    def too_late(self, now: int, inquiry: Inquiry) -> bool:
+        """Begun now, it would not end within its soft limit (or, where late answers pay, its hard limit)."""
+        tariff = inquiry.tariff
+        limit = tariff.hard_limit if tariff.late_payoff else tariff.soft_limit
+        return now + self.run_time() > min(inquiry.due, inquiry.arrived + limit)
+
+    def payoff(self, inquiry: Inquiry) -> float:
+        return inquiry.tariff.payoff
+
+    def has_run(self, inquiry: Inquiry) -> bool:
+        return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
+
+    def may_run(self, inquiry: Inquiry) -> bool:
+        if inquiry.stopped and inquiry.tariff.effect is not Effect.PURE:
+            return False
+        return self.no_run_after is None or inquiry.arrived <= self.no_run_after
+
+    # --- decisions, pulled one by one ---
+
+    def next_decision(self, now: int) -> Decision | None:
+        self.began(now)
+        if now >= self.next_sample:
+            self.sample(now)
+        steps: tuple[Callable[[int], Decision | None], ...] = (
+            self.answer_due,
+            self.stop_unwanted,
+            self.judge_new,
+            self.review_held,
+            self.let_out_calls,
+            self.start_held,
+            self.tell,
+        )
+        for step in steps:
+            decision = step(now)
+            if decision is not None:
+                return decision
+        return None
+
+    def sample(self, now: int) -> None:
+        """The design's step, u += Ki (ref - QL), and the running limit's climb."""
+        self.next_sample = now + PERIOD - self.resolution
+        waits = len(self.held)
+        wanting = len(self.running) if self.gauges.wanting_core is None else self.gauges.wanting_core
+        if wanting > self.cores * CROWDED:
+            self.limit = max(float(self.cores), self.limit - 1)
+        elif waits and len(self.running) >= int(self.limit) and wanting <= self.cores:
+            self.limit = min(self.crowd_bound(now), self.limit + CLIMB)
+        self.limit = max(1.0, min(self.limit, self.crowd_bound(now)))
+        self.cap += GAIN * (self.reference - waits)
+        self.cap = max(self.limit, min(self.cap, self.in_hand() + self.limit))
+        if not waits or self.in_hand() < self.cap - 1:
+            self.full_since = None
+        elif self.full_since is None:
+            self.full_since = now
+        step = TOLD_UP if self.deferred_lately else -TOLD_DOWN
+        self.ease = min(TOLD_MOST, max(0.0, self.ease + step))
+        self.deferred_lately = 0
+        for inquiry in [each for each, until in self.receipts.items() if until <= now]:
+            del self.receipts[inquiry]
+
+    def answer_due(self, now: int) -> Decision | None:
+        """Guards the first rule: whatever is due before the next wake-up is answered now."""
+        for pool in (self.running, self.calling, self.asking, self.held, self.sharing):
+            for inquiry in pool:
+                if not inquiry.answered and inquiry.due <= now + self.guard:
+                    return self.give_up(inquiry)
+        return None
+
+    def stop_unwanted(self, now: int) -> Decision | None:
+        """Work for which nobody waits frees its core, unless a repeat waits for its outcome."""
+        while self.to_stop:
+            inquiry = next(iter(self.to_stop))
+            del self.to_stop[inquiry]
+            wanted = any(each.repeats is inquiry for each in self.sharing)
+            if self.can_stop and inquiry in self.running and not wanted:
+                return Decision(Act.STOP, inquiry)
+        return None
+
+    def judge_new(self, now: int) -> Decision | None:
+        """An arrival is held if the cap and the rules allow, else deferred at once."""
+        while self.new:
+            inquiry = next(iter(self.new))
+            if self.leaves_at is not None:
+                inquiry.due = min(inquiry.due, self.leaves_at + self.guard)
+            if inquiry.repeats or inquiry.repeats_unknown:
+                del self.new[inquiry]
+                self.held[inquiry] = None
+                continue
+            out = (
+                inquiry.due <= now + self.guard
+                or not self.may_run(inquiry)
+                or self.stalled(now)
+                or self.too_late(now, inquiry)
+                or self.used_kb() > self.memory_kb
+            )
+            if not out and self.full():
+                worst = min(self.held, key=lambda each: (self.payoff(each), -each.arrived))
+                if self.payoff(worst) < self.payoff(inquiry) and self.free_to_defer(worst):
+                    del self.new[inquiry]
+                    self.held[inquiry] = None
+                    return self.defer(now, worst)
+                out = True
+            if out:
+                return self.defer(now, inquiry)
+            del self.new[inquiry]
+            self.held[inquiry] = None
+            if inquiry.tariff.effect is Effect.RECEIPTED:
+                return self.record(now, inquiry)
+        return None
+
+    def full(self) -> bool:
+        return bool(self.held) and self.busy() and self.in_hand() >= self.cap
+
+    def free_to_defer(self, inquiry: Inquiry) -> bool:
+        return not self.has_run(inquiry) and inquiry.repeats is None
+
+    def record(self, now: int, inquiry: Inquiry) -> Decision:
+        """The entry is there before the run, and covers the window counted from the arrival."""
+        until = inquiry.arrived + inquiry.tariff.window + self.guard
+        self.receipts[inquiry] = until
+        return Decision(Act.RECORD, inquiry, span=max(until - now, self.guard))
+
+    def review_held(self, now: int) -> Decision | None:
+        for inquiry in list(self.held):
+            first = inquiry.repeats
+            if inquiry.repeats_unknown or (first is not None and first.started is not None):
+                if first is not None and first.state is State.ENDED and not first.succeeded:
+                    return self.give_up(inquiry)  # it ran and came to nothing: neither rerun nor deferred
+                self.move(inquiry, self.sharing, State.SHARING)
+                return Decision(Act.SHARE, inquiry)
+            if first is not None:
+                if first.state is not State.ENDED:
+                    continue  # its first try is held here: that one runs, and this one shares
+                inquiry.repeats = None
+                if inquiry.tariff.effect is Effect.RECEIPTED:
+                    return self.record(now, inquiry)
+            if self.has_run(inquiry):
+                return self.give_up(inquiry)
+            if not self.may_run(inquiry) or self.too_late(now, inquiry) or self.stalled(now):
+                return self.defer(now, inquiry)
+        return None
+
+    def let_out_calls(self, now: int) -> Decision | None:
+        """Calls go out by payoff, under the bound."""
+        for inquiry in sorted(self.asking, key=self.payoff, reverse=True):
+            if inquiry.answered:
+                self.move(inquiry, self.calling, State.CALLING)  # the host ends it
+                continue
+            pure = inquiry.tariff.effect is Effect.PURE
+            soft = inquiry.arrived + inquiry.tariff.soft_limit
+            late = pure and not inquiry.tariff.late_payoff
+            spent = inquiry.calls_failed >= CALL_TRIES or (late and now >= soft)
+            if spent and inquiry.tariff.payoff_without_call and now < soft:
+                self.move(inquiry, self.running, State.RUNNING)
+                return Decision(Act.OMIT_CALL, inquiry)
+            if spent:
+                return self.give_up(inquiry)
+            if now < inquiry.call_after or len(self.calling) >= self.calls_most:
+                continue
+            self.move(inquiry, self.calling, State.CALLING)
+            inquiry.called_at = now
+            until = min(inquiry.due, max(soft, now + PERIOD) if late else inquiry.due)
+            return Decision(Act.CALL, inquiry, span=max(until - now, self.guard))
+        return None
+
+    def start_held(self, now: int) -> Decision | None:
+        """Oldest first; newest first once the hold has stood full for long."""
+        if not self.held or len(self.running) >= int(self.limit):
+            return None
+        if len(self.running) + len(self.asking) + len(self.calling) >= self.crowd_bound(now):
+            return None
+        newest_first = self.full_since is not None and now - self.full_since > FULL_LONG
+        order = list(self.held)
+        for inquiry in reversed(order) if newest_first else order:
+            if inquiry.repeats is not None or (
+                inquiry.tariff.effect is Effect.RECEIPTED and inquiry not in self.receipts
+            ):
+                continue
+            more = inquiry.size_kb * (self.run_factor - 1)
+            if self.used_kb() + more > self.memory_kb:
+                continue
+            self.move(inquiry, self.running, State.RUNNING)
+            if not self.running or len(self.running) == 1:
+                self.progress_at = now
+            inquiry.started = now
+            return Decision(Act.START, inquiry)
+        return None
+
+    def tell(self, now: int) -> Decision | None:
+        if self.healthy != self.said_healthy:
+            self.said_healthy = self.healthy
+            return Decision(Act.HEALTH, flag=self.healthy)
+        amount = self.free_value()
+        if amount is not None and abs(amount - self.said) > 0.02 * max(1.0, abs(self.said)):
+            self.said = amount
+            return Decision(Act.TELL, amount=amount)
+        if not self.wake_at:
+            self.wake_at = now + PERIOD
+            return Decision(Act.WAKE, span=PERIOD)
+        return None
+
+    def free_value(self) -> float | None:
+        if self.told is Told.LEVEL:
+            return round(self.ease, 2)
+        if self.told is Told.CHANCE:
+            return round(1 - self.ease, 2)
+        if self.told is Told.WINDOW:
+            outstanding = len(self.asking) + len(self.calling) + self.limit + self.reference
+            return round(max(1.0, 3 * outstanding * (1 - self.ease) / self.callers), 1)
+        return None
+
+    # --- answers ---
+
+    def defer(self, now: int, inquiry: Inquiry) -> Decision:
+        self.leave(inquiry)
+        inquiry.state, inquiry.answered = State.ENDED, True
+        alone = self.stalled(now) or self.leaves_at is not None
+        if not alone:
+            self.deferred_lately += 1
+        span = self.advice_most if alone else min(ADVICE, self.advice_most)
+        return Decision(Act.DEFER, inquiry, span=span, flag=not alone)
+
+    def give_up(self, inquiry: Inquiry) -> Decision:
+        inquiry.answered = True
+        if inquiry in self.running:
+            self.to_stop[inquiry] = None
+        elif inquiry in self.asking:
+            self.move(inquiry, self.calling, State.CALLING)  # off our hands when the host says that it ended
+        elif inquiry not in self.calling:
+            self.leave(inquiry)
+            inquiry.state = State.ENDED
+        return Decision(Act.GIVE_UP, inquiry)
+
+    def move(self, inquiry: Inquiry, pool: dict[Inquiry, None], state: State) -> None:
+        self.leave(inquiry)
+        pool[inquiry] = None
+        inquiry.state = state
+
+    def leave(self, inquiry: Inquiry) -> None:
+        for pool in (self.new, self.held, self.running, self.asking, self.calling, self.sharing):
+            pool.pop(inquiry, None)
--- /dev/null
+++ b/lichencleat/terms.py
@@ -0,0 +1,175 @@
+"""Plain types shared by the decisions and their hosts. Times are whole microseconds; nothing here decides."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+
+class Effect(Enum):
+    """What a second run of an inquiry would do."""
+
+    PURE = auto()  # no harm
+    RECEIPTED = auto()  # must not happen; a mark tells the repeat
+    EFFECTFUL = auto()  # must not happen; nothing tells the repeat
+
+
+class Halt(Enum):
+    """What a node can do to running work."""
+
+    NONE = auto()
+    DROP = auto()
+    PAUSE = auto()
+
+
+class Told(Enum):
+    """What callers read in the free value that goes with every answer."""
+
+    NOTHING = auto()
+    LEVEL = auto()  # they send nothing of lower place
+    WINDOW = auto()  # each has at most so many outstanding here
+    CHANCE = auto()  # they skip this node but for this probability
+
+
+class Below(Enum):
+    """What the inquiries of this node call."""
+
+    NOTHING = auto()
+    SHARED = auto()  # one dependency, common to all nodes
+    TIER = auto()  # further nodes that run the same decisions
+
+
+class Outcome(Enum):
+    """How a run or a call came to its end."""
+
+    COMPLETED = auto()
+    ERRED = auto()
+    STOPPED = auto()
+    OVERDUE = auto()
+    CUT = auto()
+    TURNED_AWAY = auto()  # proves that it never ran
+    UNREACHED = auto()  # proves that it never ran
+    VOID = auto()  # nothing was started
+
+
+class State(Enum):
+    """Where an inquiry stands on this node."""
+
+    HELD = auto()
+    RUNNING = auto()
+    ASKING = auto()  # at a call that has not been let out
+    CALLING = auto()
+    SHARING = auto()  # waits for the outcome of the one it repeats
+    ENDED = auto()
+
+
+class Act(Enum):
+    """What the host is asked to do."""
+
+    START = auto()
+    STOP = auto()
+    DEFER = auto()
+    GIVE_UP = auto()
+    CALL = auto()
+    OMIT_CALL = auto()
+    RECORD = auto()
+    STRIKE = auto()
+    SHARE = auto()
+    HEALTH = auto()
+    TELL = auto()
+    WAKE = auto()
+    NOTE = auto()
+
+
+@dataclass(eq=False, slots=True)
+class Tariff:
+    name: str
+    effect: Effect = Effect.PURE
+    soft_limit: int = 0
+    hard_limit: int = 0
+    payoff: float = 1.0
+    late_payoff: float = 0.0  # share of the payoff earned after the soft limit
+    window: int = 0  # receipted: how long after its arrival it may come again
+    calls: bool = False
+    payoff_without_call: float = 0.0  # share of the payoff kept where a call was omitted
+
+
+@dataclass(eq=False, slots=True)
+class Customer:
+    name: str
+    per_second: float = 0.0  # inquiries within its share, over the whole fleet
+
+
+@dataclass(slots=True)
+class Machine:
+    """What a node is told when it starts."""
+
+    cores: int = 1
+    memory_kb: float = 0.0
+    run_factor: float = 1.0  # memory of a running inquiry, in that of a held one
+    receipt_kb: float = 0.0
+    crowd: float = 2.0  # running inquiries on the cores, for each core, that a warm node survives
+    cold: bool = False
+    cold_share: float = 1.0  # of its speed, at the least, at a cold start
+    warm_after: int = 0
+    halt: Halt = Halt.NONE
+    told: Told = Told.NOTHING
+    told_kept: int = 0
+    callers: int = 1
+    advice_most: int = 0  # 0 where advice goes unheard
+    below: Below = Below.NOTHING
+    calls_share: float = 0.0  # this node's part of the calls that the dependency survives
+    calls_span: int = 0
+    call_lingers: int = 0
+    shares_answers: bool = False  # answers of pure inquiries may serve repeats
+    grace: int = 0  # after the notice to leave, what arrives later is not run
+    slack: int = 0
+    resolution: int = 0
+    nodes: int = 1
+    beyond_share: float = 1.0  # payoff of what a customer sends beyond its share
+    list_follows_health: bool = False
+    tariffs: list[Tariff] = field(default_factory=list)
+    customers: list[Customer] = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True, weakref_slot=True)
+class Inquiry:
+    tariff: Tariff
+    arrived: int  # at the machine, before it was read
+    due: int  # by now it must have its answer
+    place: float = 0.0
+    caller: int = 0
+    customer: Customer | None = None
+    repeats: Inquiry | None = None
+    repeats_unknown: bool = False  # it repeats one that the host no longer has
+    further_try: bool = False
+    cost: int = 0  # core time expected, 0 where not told
+    size_kb: float = 0.0
+    state: State = State.HELD
+    answered: bool = False
+    started: int | None = None
+    stopped: bool = False
+    succeeded: bool = False
+    called_at: int = 0
+    call_after: int = 0
+    calls_failed: int = 0
+
+
+@dataclass(slots=True)
+class Gauges:
+    """The node's own readings; None where it has no such gauge."""
+
+    busy: float | None = None
+    wanting_core: float | None = None
+    memory: float | None = None
+    connections: float | None = None
+
+
+@dataclass(slots=True)
+class Decision:
+    act: Act
+    inquiry: Inquiry | None = None
+    span: int = 0  # of an advice, a call, a record or a wake-up; 0 for none
+    amount: float = 0.0  # the free value
+    flag: bool = False  # DEFER: no try elsewhere; HEALTH: good
+    text: str = ""
--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,26 @@
+import random
+
+import pytest
+
+from lichencleat.decide import Node
+from lichencleat.terms import Act, Inquiry, Machine, Tariff
+
+SECOND = 1_000_000
+
+
+@pytest.fixture
+def tariff():
+    return Tariff("plain", soft_limit=2 * SECOND, hard_limit=5 * SECOND)
+
+
+@pytest.fixture
+def node():
+    return Node(Machine(cores=2, crowd=8.0, memory_kb=10_000.0, run_factor=8.0), random.Random(1))
+
+
+def test_running_work_is_answered_before_it_is_due(node, tariff):
+    late = Inquiry(tariff, arrived=0, due=SECOND)
+    node.running[late] = None
+    assert node.answer_due(SECOND // 2) is None
+    decision = node.answer_due(SECOND - 50_000)
+    assert decision.act is Act.GIVE_UP and decision.inquiry is late
