Record a receipted inquiry whichever way it entered the hold

Cause: one that displaced a lower payoff was held without an entry, and a run needs an entry, so it sat until its caller left.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -316,8 +316,6 @@
                 return self.defer(now, inquiry)
             del self.new[inquiry]
             self.held[inquiry] = None
-            if inquiry.tariff.effect is Effect.RECEIPTED:
-                return self.record(now, inquiry)
         return None
 
     def full(self) -> bool:
@@ -344,12 +342,12 @@
                 if first.state is not State.ENDED:
                     continue  # its first try is held here: that one runs, and this one shares
                 inquiry.repeats = None
-                if inquiry.tariff.effect is Effect.RECEIPTED:
-                    return self.record(now, inquiry)
             if self.has_run(inquiry):
                 return self.give_up(inquiry)
             if not self.may_run(inquiry) or self.too_late(now, inquiry) or self.stalled(now):
                 return self.defer(now, inquiry)
+            if inquiry.tariff.effect is Effect.RECEIPTED and inquiry not in self.receipts:
+                return self.record(now, inquiry)  # however it came into the hold: without, it never starts
         return None
 
     def let_out_calls(self, now: int) -> Decision | None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lichencleat.decide import Node
-from lichencleat.terms import Act, Inquiry, Machine, Tariff
+from lichencleat.terms import Act, Effect, Inquiry, Machine, Tariff
 
 SECOND = 1_000_000
 
@@ -24,3 +24,13 @@
     assert node.answer_due(SECOND // 2) is None
     decision = node.answer_due(SECOND - 50_000)
     assert decision.act is Act.GIVE_UP and decision.inquiry is late
+
+
+@pytest.fixture
+def receipted():
+    return Tariff("booked", Effect.RECEIPTED, soft_limit=2 * SECOND, hard_limit=5 * SECOND, window=9 * SECOND)
+
+
+def test_a_receipted_inquiry_in_the_hold_is_recorded_however_it_came_there(node, receipted):
+    node.held[Inquiry(receipted, arrived=0, due=5 * SECOND)] = None
+    assert node.review_held(0).act is Act.RECORD
