Judge late work by the runs under way and by the hold ahead

Cause: a node that had just slowed still counted with its old run times, and arrivals with nobody before them; and once its runs passed every soft limit it would have deferred all for good.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -195,8 +195,13 @@
             + len(self.receipts) * self.receipt_kb
         )
 
-    def run_time(self) -> float:
-        return median(self.run_times) if self.run_times else 0.0
+    def run_time(self, now: int) -> float:
+        """The usual time of a run; what is under way tells sooner than what has ended."""
+        ended = median(self.run_times) if self.run_times else 0.0
+        under_way = [
+            now - each.started for each in (*self.running, *self.asking, *self.calling) if each.started
+        ]
+        return max(ended, median(under_way) if len(under_way) >= self.cores else 0.0)
 
     def busy(self) -> bool:
         return len(self.running) >= self.cores or (self.gauges.busy or 0.0) > 0.9
@@ -207,14 +212,21 @@
         Guards against any standstill, whatever its cause. It does harm where the few inquiries that run are
         all many times the usual size: arrivals then go elsewhere until one of them ends.
         """
-        long = max(STALL_LEAST, STALL_RUNS * self.run_time())
+        long = max(STALL_LEAST, STALL_RUNS * self.run_time(now))
         return len(self.running) >= self.cores and now - self.progress_at > long
 
-    def too_late(self, now: int, inquiry: Inquiry) -> bool:
-        """Begun now, it would not end within its soft limit (or, where late answers pay, its hard limit)."""
-        tariff = inquiry.tariff
-        limit = tariff.hard_limit if tariff.late_payoff else tariff.soft_limit
-        return now + self.run_time() > min(inquiry.due, inquiry.arrived + limit)
+    def too_late(self, now: int, inquiry: Inquiry, ahead: int = 0) -> bool:
+        """With so many before it, it would not end within its soft limit; an idle core tries all the same.
+
+        Guards against work that earns nothing, whatever slowed the node. The idle core is how a node learns
+        that it is no longer slow; it does harm if the runs of one tariff are many times those of another.
+        """
+        if len(self.running) < self.cores and not ahead:
+            return False
+        turns = 1 + ahead / self.limit
+        return now + self.run_time(now) * turns > min(
+            inquiry.due, inquiry.arrived + inquiry.tariff.soft_limit
+        )
 
     def payoff(self, inquiry: Inquiry) -> float:
         return inquiry.tariff.payoff
@@ -302,7 +314,7 @@
                 inquiry.due <= now + self.guard
                 or not self.may_run(inquiry)
                 or self.stalled(now)
-                or self.too_late(now, inquiry)
+                or self.too_late(now, inquiry, len(self.held))
                 or self.used_kb() > self.memory_kb
             )
             if not out and self.full():
