Ask callers to hold back when arrivals wait long to be read

Cause: reading alone costs a quarter of the mean work, and a slowed node could not even read what came; its refusals came too late to tell anyone. The free value now tightens on that too.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -55,6 +55,10 @@
 TOLD_UP = 0.08  # free value, per period with deferrals: callers hear it about once a second
 TOLD_DOWN = 0.02  # per period without: gentler, so that the load does not come back in one wave
 TOLD_MOST = 0.85  # leaves the best-paid callers a way in
+READ_LATE = (
+    150_000  # µs from arrival to reading: several readings' worth, so cores are short for reading alone
+)
+READS_KEPT = 16  # last such times: about a second's arrivals
 ADVICE = 300_000  # µs to stay away when full: a few run times, the hold will have turned over
 LEAVE_MARGIN = 300_000  # µs before the stop by which all is answered: three wake-ups
 
@@ -93,6 +97,7 @@
         self.gauges = Gauges()
         self.run_times: deque[int] = deque(maxlen=RUNS_KEPT)
         self.call_times: deque[int] = deque(maxlen=RUNS_KEPT)
+        self.read_times: deque[int] = deque(maxlen=READS_KEPT)
         self.progress_at = 0
         self.full_since: int | None = None
         self.deferred_lately = 0
@@ -113,6 +118,7 @@
     def arrives(self, now: int, inquiry: Inquiry) -> None:
         self.began(now)
         self.new[inquiry] = None
+        self.read_times.append(now - inquiry.arrived)
 
     def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.COMPLETED and inquiry in self.running:
@@ -276,7 +282,8 @@
             self.full_since = None
         elif self.full_since is None:
             self.full_since = now
-        step = TOLD_UP if self.deferred_lately else -TOLD_DOWN
+        pressed = self.deferred_lately or (self.read_times and median(self.read_times) > READ_LATE)
+        step = TOLD_UP if pressed else -TOLD_DOWN
         self.ease = min(TOLD_MOST, max(0.0, self.ease + step))
         self.deferred_lately = 0
         for inquiry in [each for each, until in self.receipts.items() if until <= now]:
