--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -435,7 +435,7 @@
             return round(1 - self.ease, 2)
         if self.told is Told.WINDOW:
             outstanding = len(self.asking) + len(self.calling) + self.limit + self.reference
-            return round(max(1.0, 3 * outstanding * (1 - self.ease) / self.callers), 1)
+            return round(max(0.2, 3 * outstanding * (1 - self.ease) / self.callers), 1)
         return None
 
     # --- answers ---
