Move the bound on calls by how calls come back; begin nothing that would only wait

The bound now climbs while calls come back well, is cut once a round when they fail or turn slow, and held work is not begun while as many wait to be let out as are out.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -44,7 +44,11 @@
 CROWD_PART = 0.6  # of the crowd a node survives: what waits on calls may come back to the cores at once
 MEMORY_PART = 0.85  # of the memory: leaves room for what is being read while decisions are made
 CALLS_PART = 0.7  # of this node's part of what the dependency survives: cold nodes call more, calls linger
-CALL_TRIES = 4  # of one call: further ones have cost more than the answer is worth
+CALLS_CUT = 0.8  # of the bound, once for each round of calls that comes back slow or failed
+CALLS_SLOW = 2.5  # last few calls, in the quick quarter of those kept: beyond chance, it is crowded below
+CALLS_KEPT = 64  # last call times: some ten seconds' worth, so that the quick quarter outlasts a slow spell
+CALLS_FEW = 8  # of them tell how calls go now: fewer would mistake one long call for a crowd
+CALL_TRIES = 3  # of one call: further ones have cost more than the answer is worth
 CALL_PAUSE = (
     50_000  # µs before a call that never ran is tried again: lets the layer below take in its answers
 )
@@ -75,7 +79,9 @@
         self.can_stop = machine.halt is not Halt.NONE
         self.told, self.callers = machine.told, machine.callers
         self.advice_most = machine.advice_most
-        self.calls_most = self.call_bound(machine)
+        self.calls_ceiling = self.call_ceiling(machine)
+        self.calls_most = min(self.calls_ceiling, float(machine.cores))
+        self.calls_cut_at = 0
         self.grace, self.resolution = machine.grace, machine.resolution
         self.guard = PERIOD + 2 * machine.resolution  # an answer due sooner than this goes out now
         self.started_at: int | None = None
@@ -96,7 +102,7 @@
         # what is known
         self.gauges = Gauges()
         self.run_times: deque[int] = deque(maxlen=RUNS_KEPT)
-        self.call_times: deque[int] = deque(maxlen=RUNS_KEPT)
+        self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
         self.read_times: deque[int] = deque(maxlen=READS_KEPT)
         self.progress_at = 0
         self.full_since: int | None = None
@@ -108,7 +114,7 @@
         self.said = -1.0
         self.wake_at = 0
 
-    def call_bound(self, machine: Machine) -> float:
+    def call_ceiling(self, machine: Machine) -> float:
         if machine.below is Below.SHARED and machine.calls_share:
             return max(1.0, machine.calls_share * CALLS_PART)
         return float("inf")
@@ -144,6 +150,12 @@
         if inquiry not in self.calling:
             return
         self.call_times.append(took)
+        if outcome is not Outcome.COMPLETED or self.calls_slow():
+            if now - took >= self.calls_cut_at:
+                self.calls_most = max(1.0, self.calls_most * CALLS_CUT)
+                self.calls_cut_at = now
+        elif len(self.calling) >= self.calls_most - 1:
+            self.calls_most = min(self.calls_ceiling, self.calls_most + 1 / self.calls_most)
         if outcome is Outcome.COMPLETED:
             self.move(inquiry, self.running, State.RUNNING)
             return
@@ -212,6 +224,12 @@
     def busy(self) -> bool:
         return len(self.running) >= self.cores or (self.gauges.busy or 0.0) > 0.9
 
+    def calls_slow(self) -> bool:
+        if len(self.call_times) < CALLS_FEW:
+            return False
+        times = list(self.call_times)
+        return median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
+
     def stalled(self, now: int) -> bool:
         """No run ended or reached a call for long, though the cores have work: a hang, or all but one.
 
@@ -338,7 +356,11 @@
         return None
 
     def full(self) -> bool:
-        return bool(self.held) and self.busy() and self.in_hand() >= self.cap
+        return bool(self.held) and (self.busy() or self.clogged()) and self.in_hand() >= self.cap
+
+    def clogged(self) -> bool:
+        """More wait to be let out than are out: what is begun now would only wait at its call."""
+        return len(self.asking) >= self.calls_most
 
     def free_to_defer(self, inquiry: Inquiry) -> bool:
         return not self.has_run(inquiry) and inquiry.repeats is None
@@ -405,6 +427,8 @@
                 inquiry.tariff.effect is Effect.RECEIPTED and inquiry not in self.receipts
             ):
                 continue
+            if inquiry.tariff.calls and self.clogged():
+                continue
             more = inquiry.size_kb * (self.run_factor - 1)
             if self.used_kb() + more > self.memory_kb:
                 continue
