--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -290,7 +290,7 @@
         waits = len(self.held)
         wanting = len(self.running) if self.gauges.wanting_core is None else self.gauges.wanting_core
         if wanting > self.cores * CROWDED:
-            self.limit = max(self.cores / 2, self.limit - 1)
+            self.limit = max(self.cores / 3, self.limit - 1)
         elif waits and len(self.running) >= int(self.limit) and wanting <= self.cores:
             self.limit = min(self.crowd_bound(now), self.limit + CLIMB)
         self.limit = max(1.0, min(self.limit, self.crowd_bound(now)))
