--- a/lichencleat/benchlink/wire.py
+++ b/lichencleat/benchlink/wire.py
@@ -114,6 +114,7 @@
         resolution=micros(told.get("resolution")),
         nodes=int(told.get("servers") or 1),
         beyond_share=1.0 if beyond is None else beyond,
+        paid_by_work=told.get("worthBy") == "work",
         list_follows_health=bool(own.get("listFollows")),
         tariffs=tariffs,
         customers=[Customer(each["name"], each.get("quotaPerS") or 0.0) for each in told.get("orgs") or []],
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -32,6 +32,7 @@
     Machine,
     Outcome,
     State,
+    Tariff,
     Told,
 )
 
@@ -52,7 +53,8 @@
 CALL_PAUSE = (
     50_000  # µs before a call that never ran is tried again: lets the layer below take in its answers
 )
-RUNS_KEPT = 32  # last run times: a few seconds' worth on a busy node
+RUNS_KEPT = 16  # last run times of each tariff: a few seconds' worth on a busy node
+RUNS_FEW = 4  # of one tariff: with fewer, all tariffs' runs tell more
 STALL_LEAST = 700_000  # µs without any progress on full cores: far over the gap between two ends of runs
 STALL_RUNS = 3  # median run times without progress
 FULL_LONG = 1_000_000  # µs of a full hold before the newest go first: several turns of the hold
@@ -77,6 +79,7 @@
         self.cold_from = machine.cold_share if machine.cold else 1.0
         self.warm_after = machine.warm_after if machine.cold else 0
         self.can_stop = machine.halt is not Halt.NONE
+        self.paid_by_work = machine.paid_by_work
         self.told, self.callers = machine.told, machine.callers
         self.advice_most = machine.advice_most
         self.calls_ceiling = self.call_ceiling(machine)
@@ -101,7 +104,7 @@
         self.receipts: dict[Inquiry, int] = {}  # until when each entry lives
         # what is known
         self.gauges = Gauges()
-        self.run_times: deque[int] = deque(maxlen=RUNS_KEPT)
+        self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
         self.read_times: deque[int] = deque(maxlen=READS_KEPT)
         self.progress_at = 0
@@ -128,7 +131,7 @@
 
     def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.COMPLETED and inquiry in self.running:
-            self.run_times.append(took)
+            self.run_times.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(took)
         if outcome in (Outcome.COMPLETED, Outcome.ERRED):
             inquiry.answered = True
         inquiry.succeeded = outcome is Outcome.COMPLETED
@@ -213,13 +216,20 @@
             + len(self.receipts) * self.receipt_kb
         )
 
-    def run_time(self, now: int) -> float:
+    def usual_run(self, tariff: Tariff | None = None) -> float:
+        """The usual time of a run, of this tariff if enough of it is known."""
+        own = self.run_times.get(tariff, ()) if tariff else ()
+        if len(own) >= RUNS_FEW:
+            return median(own)
+        every = [took for times in self.run_times.values() for took in times]
+        return median(every) if every else 0.0
+
+    def run_time(self, now: int, tariff: Tariff | None = None) -> float:
         """The usual time of a run; what is under way tells sooner than what has ended."""
-        ended = median(self.run_times) if self.run_times else 0.0
         under_way = [
             now - each.started for each in (*self.running, *self.asking, *self.calling) if each.started
         ]
-        return max(ended, median(under_way) if len(under_way) >= self.cores else 0.0)
+        return max(self.usual_run(tariff), median(under_way) if len(under_way) >= self.cores else 0.0)
 
     def busy(self) -> bool:
         return len(self.running) >= self.cores or (self.gauges.busy or 0.0) > 0.9
@@ -248,12 +258,15 @@
         if len(self.running) < self.cores and not ahead:
             return False
         turns = 1 + ahead / self.limit
-        return now + self.run_time(now) * turns > min(
+        return now + self.run_time(now, inquiry.tariff) * turns > min(
             inquiry.due, inquiry.arrived + inquiry.tariff.soft_limit
         )
 
     def payoff(self, inquiry: Inquiry) -> float:
-        return inquiry.tariff.payoff
+        """For the core time that it takes."""
+        if self.paid_by_work:
+            return inquiry.tariff.payoff
+        return inquiry.tariff.payoff * self.usual_run() / max(1.0, self.usual_run(inquiry.tariff))
 
     def has_run(self, inquiry: Inquiry) -> bool:
         return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -127,6 +127,7 @@
     resolution: int = 0
     nodes: int = 1
     beyond_share: float = 1.0  # payoff of what a customer sends beyond its share
+    paid_by_work: bool = False  # the payoff is for each unit of work, not for each inquiry
     list_follows_health: bool = False
     tariffs: list[Tariff] = field(default_factory=list)
     customers: list[Customer] = field(default_factory=list)
