Turn health off, and pass pure work on, while a node honours nothing in time

Told from overload by no end within its soft limit for the longest of them. Covers hangs, neighbours, bad hardware; harms where all nodes are struck at once.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -85,6 +85,7 @@
         self.calls_ceiling = self.call_ceiling(machine)
         self.calls_most = min(self.calls_ceiling, float(machine.cores))
         self.calls_cut_at = 0
+        self.longest_soft_limit = max((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
         self.grace, self.resolution = machine.grace, machine.resolution
         self.guard = PERIOD + 2 * machine.resolution  # an answer due sooner than this goes out now
         self.started_at: int | None = None
@@ -107,7 +108,7 @@
         self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
         self.read_times: deque[int] = deque(maxlen=READS_KEPT)
-        self.progress_at = 0
+        self.progress_at = self.on_time_at = 0
         self.full_since: int | None = None
         self.deferred_lately = 0
         self.leaves_at: int | None = None
@@ -135,6 +136,8 @@
         if outcome in (Outcome.COMPLETED, Outcome.ERRED):
             inquiry.answered = True
         inquiry.succeeded = outcome is Outcome.COMPLETED
+        if inquiry.succeeded and now <= inquiry.arrived + inquiry.tariff.soft_limit:
+            self.on_time_at = now
         self.progress_at = now
         self.leave(inquiry)
         if not inquiry.answered and outcome is Outcome.STOPPED:
@@ -190,7 +193,7 @@
 
     def began(self, now: int) -> None:
         if self.started_at is None:
-            self.started_at = self.progress_at = now
+            self.started_at = self.progress_at = self.on_time_at = now
 
     # --- figures worked out when needed ---
 
@@ -247,7 +250,18 @@
         all many times the usual size: arrivals then go elsewhere until one of them ends.
         """
         long = max(STALL_LEAST, STALL_RUNS * self.run_time(now))
-        return len(self.running) >= self.cores and now - self.progress_at > long
+        return len(self.running) >= min(self.cores, int(self.limit)) and now - self.progress_at > long
+
+    def sick(self, now: int) -> bool:
+        """Cores at work, and nothing in its soft limit for the longest of them: a hang, or far too slow.
+
+        Guards against any trouble of this node alone, for the others may still honour what it cannot. An
+        overloaded node still ends some in time. It does harm where all nodes are struck at once.
+        """
+        return self.stalled(now) or (
+            len(self.running) >= min(self.cores, self.limit) / 2
+            and now - self.on_time_at > self.longest_soft_limit
+        )
 
     def too_late(self, now: int, inquiry: Inquiry, ahead: int = 0) -> bool:
         """With so many before it, it would not end within its soft limit; an idle core tries all the same.
@@ -317,6 +331,8 @@
         step = TOLD_UP if pressed else -TOLD_DOWN
         self.ease = min(TOLD_MOST, max(0.0, self.ease + step))
         self.deferred_lately = 0
+        self.healthy = self.leaves_at is None and not self.sick(now)
+        self.to_stop.update((each, None) for each in self.running if each.answered)  # a hang ignores it
         for inquiry in [each for each, until in self.receipts.items() if until <= now]:
             del self.receipts[inquiry]
 
@@ -326,6 +342,10 @@
             for inquiry in pool:
                 if not inquiry.answered and inquiry.due <= now + self.guard:
                     return self.give_up(inquiry)
+        if self.stalled(now):  # its caller may still find another node in time
+            for inquiry in self.running:
+                if not inquiry.answered and inquiry.tariff.effect is Effect.PURE:
+                    return self.give_up(inquiry)
         return None
 
     def stop_unwanted(self, now: int) -> Decision | None:
@@ -446,8 +466,8 @@
             if self.used_kb() + more > self.memory_kb:
                 continue
             self.move(inquiry, self.running, State.RUNNING)
-            if not self.running or len(self.running) == 1:
-                self.progress_at = now
+            if len(self.running) == 1:
+                self.progress_at = self.on_time_at = now
             inquiry.started = now
             return Decision(Act.START, inquiry)
         return None
@@ -480,7 +500,7 @@
     def defer(self, now: int, inquiry: Inquiry) -> Decision:
         self.leave(inquiry)
         inquiry.state, inquiry.answered = State.ENDED, True
-        alone = self.stalled(now) or self.leaves_at is not None
+        alone = self.sick(now) or self.leaves_at is not None
         if not alone:
             self.deferred_lately += 1
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -34,3 +34,21 @@
 def test_a_receipted_inquiry_in_the_hold_is_recorded_however_it_came_there(node, receipted):
     node.held[Inquiry(receipted, arrived=0, due=5 * SECOND)] = None
     assert node.review_held(0).act is Act.RECORD
+
+
+def test_a_node_that_honours_nothing_in_time_is_sick_even_with_a_stepped_back_limit(node, tariff):
+    node.limit, node.longest_soft_limit = 1.0, 2 * SECOND
+    node.running[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    node.progress_at = 2 * SECOND
+    assert not node.sick(2 * SECOND)
+    assert node.sick(2 * SECOND + 1)
+
+
+def test_a_stalled_node_gives_up_pure_runs_so_that_others_may_try(node, tariff, receipted):
+    pure = Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)
+    booked = Inquiry(receipted, arrived=0, due=9 * SECOND, started=0)
+    node.running.update({booked: None, pure: None})
+    assert node.answer_due(SECOND // 2) is None
+    decision = node.answer_due(3 * SECOND)
+    assert decision.act is Act.GIVE_UP and decision.inquiry is pure
+    assert node.answer_due(3 * SECOND) is None
