Report bad health while a node drowns in reading

A node that reads seconds late refuses too late for its word to be heeded. Told from sickness by no runs at all.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -65,6 +65,7 @@
     150_000  # µs from arrival to reading: several readings' worth, so cores are short for reading alone
 )
 READS_KEPT = 16  # last such times: about a second's arrivals
+READS_SPAN = 3_000_000  # µs that they count: a node that clears its unread lot must not go on looking drowned
 ADVICE = 300_000  # µs to stay away when full: a few run times, the hold will have turned over
 LEAVE_MARGIN = 300_000  # µs before the stop by which all is answered: three wake-ups
 
@@ -107,7 +108,8 @@
         self.gauges = Gauges()
         self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
-        self.read_times: deque[int] = deque(maxlen=READS_KEPT)
+        # when each was read, how long after its arrival
+        self.read_times: deque[tuple[int, int]] = deque(maxlen=READS_KEPT)
         self.progress_at = self.on_time_at = 0
         self.full_since: int | None = None
         self.deferred_lately = 0
@@ -128,7 +130,7 @@
     def arrives(self, now: int, inquiry: Inquiry) -> None:
         self.began(now)
         self.new[inquiry] = None
-        self.read_times.append(now - inquiry.arrived)
+        self.read_times.append((now, now - inquiry.arrived))
 
     def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.COMPLETED and inquiry in self.running:
@@ -234,6 +236,11 @@
         ]
         return max(self.usual_run(tariff), median(under_way) if len(under_way) >= self.cores else 0.0)
 
+    def read_time(self, now: int) -> float:
+        """How long arrivals wait to be read, by those of the last while."""
+        times = [took for at, took in self.read_times if now - at <= READS_SPAN]
+        return median(times) if times else 0.0
+
     def busy(self) -> bool:
         return len(self.running) >= self.cores or (self.gauges.busy or 0.0) > 0.9
 
@@ -327,11 +334,12 @@
             self.full_since = None
         elif self.full_since is None:
             self.full_since = now
-        pressed = self.deferred_lately or (self.read_times and median(self.read_times) > READ_LATE)
+        pressed = self.deferred_lately or self.read_time(now) > READ_LATE
         step = TOLD_UP if pressed else -TOLD_DOWN
         self.ease = min(TOLD_MOST, max(0.0, self.ease + step))
         self.deferred_lately = 0
-        self.healthy = self.leaves_at is None and not self.sick(now)
+        drowned = self.read_time(now) > self.longest_soft_limit / 2  # refuses too late for anyone to heed it
+        self.healthy = self.leaves_at is None and not drowned and not self.sick(now)
         self.to_stop.update((each, None) for each in self.running if each.answered)  # a hang ignores it
         for inquiry in [each for each, until in self.receipts.items() if until <= now]:
             del self.receipts[inquiry]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -52,3 +52,12 @@
     decision = node.answer_due(3 * SECOND)
     assert decision.act is Act.GIVE_UP and decision.inquiry is pure
     assert node.answer_due(3 * SECOND) is None
+
+
+def test_health_goes_off_while_arrivals_wait_half_a_soft_limit_to_be_read(node):
+    node.longest_soft_limit = 2 * SECOND
+    node.read_times.extend([(9 * SECOND, SECOND + 1)] * 3)
+    node.sample(9 * SECOND)
+    assert not node.healthy
+    node.sample(13 * SECOND)
+    assert node.healthy
