--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -508,9 +508,8 @@
     def defer(self, now: int, inquiry: Inquiry) -> Decision:
         self.leave(inquiry)
         inquiry.state, inquiry.answered = State.ENDED, True
-        alone = self.sick(now) or self.leaves_at is not None
-        if not alone:
-            self.deferred_lately += 1
+        alone = self.stalled(now) or self.leaves_at is not None
+        self.deferred_lately += 1
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
         return Decision(Act.DEFER, inquiry, span=span, flag=not alone)
 
