Stop and defer pure runs that can no longer earn anything while work waits

Told from slow but useful work by the soft limit and the tariff's late payoff; acts only while something is held or arrivals wait to be read. Harm where payoff after the soft limit exists but is not told.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -61,9 +61,7 @@
 TOLD_UP = 0.08  # free value, per period with deferrals: callers hear it about once a second
 TOLD_DOWN = 0.02  # per period without: gentler, so that the load does not come back in one wave
 TOLD_MOST = 0.85  # leaves the best-paid callers a way in
-READ_LATE = (
-    150_000  # µs from arrival to reading: several readings' worth, so cores are short for reading alone
-)
+READ_LATE = 150_000  # µs from arrival to reading: several readings' worth, the cores are short for reading
 READS_KEPT = 16  # last such times: about a second's arrivals
 READS_SPAN = 3_000_000  # µs that they count: a node that clears its unread lot must not go on looking drowned
 ADVICE = 300_000  # µs to stay away when full: a few run times, the hold will have turned over
@@ -283,6 +281,12 @@
             inquiry.due, inquiry.arrived + inquiry.tariff.soft_limit
         )
 
+    def worthless(self, now: int, inquiry: Inquiry) -> bool:
+        """A pure inquiry whose soft limit is past and that earns nothing after it."""
+        tariff = inquiry.tariff
+        late = now >= inquiry.arrived + tariff.soft_limit
+        return late and tariff.effect is Effect.PURE and not tariff.late_payoff and self.can_stop
+
     def payoff(self, inquiry: Inquiry) -> float:
         """For the core time that it takes."""
         if self.paid_by_work:
@@ -350,6 +354,10 @@
             for inquiry in pool:
                 if not inquiry.answered and inquiry.due <= now + self.guard:
                     return self.give_up(inquiry)
+        if self.held or self.read_time(now) > READ_LATE:
+            for inquiry in (*self.running, *self.asking, *self.calling):
+                if not inquiry.answered and self.worthless(now, inquiry):
+                    return self.defer(now, inquiry)
         if self.stalled(now):  # its caller may still find another node in time
             for inquiry in self.running:
                 if not inquiry.answered and inquiry.tariff.effect is Effect.PURE:
@@ -506,8 +514,7 @@
     # --- answers ---
 
     def defer(self, now: int, inquiry: Inquiry) -> Decision:
-        self.leave(inquiry)
-        inquiry.state, inquiry.answered = State.ENDED, True
+        self.give_up(inquiry)
         alone = self.stalled(now) or self.leaves_at is not None
         self.deferred_lately += 1
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -61,3 +61,14 @@
     assert not node.healthy
     node.sample(13 * SECOND)
     assert node.healthy
+
+
+def test_a_run_that_can_earn_nothing_makes_way_only_while_work_waits(node, tariff):
+    node.can_stop = True
+    late = Inquiry(tariff, arrived=0, due=5 * SECOND, started=0)
+    node.running[late] = None
+    assert node.answer_due(3 * SECOND) is None
+    node.held[Inquiry(tariff, arrived=3 * SECOND, due=8 * SECOND)] = None
+    decision = node.answer_due(3 * SECOND)
+    assert decision.act is Act.DEFER and decision.inquiry is late
+    assert node.stop_unwanted(3 * SECOND).act is Act.STOP
