--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -105,6 +105,7 @@
         # what is known
         self.gauges = Gauges()
         self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
+        self.costs: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
         # when each was read, how long after its arrival
         self.read_times: deque[tuple[int, int]] = deque(maxlen=READS_KEPT)
@@ -128,6 +129,8 @@
     def arrives(self, now: int, inquiry: Inquiry) -> None:
         self.began(now)
         self.new[inquiry] = None
+        if inquiry.cost:
+            self.costs.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(inquiry.cost)
         self.read_times.append((now, now - inquiry.arrived))
 
     def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
@@ -276,10 +279,16 @@
         """
         if len(self.running) < self.cores and not ahead:
             return False
-        turns = 1 + ahead / self.limit
-        return now + self.run_time(now, inquiry.tariff) * turns > min(
-            inquiry.due, inquiry.arrived + inquiry.tariff.soft_limit
-        )
+        wait = self.run_time(now) * ahead / self.limit
+        own = self.run_time(now, inquiry.tariff) * self.bulk(inquiry)
+        return now + wait + own > min(inquiry.due, inquiry.arrived + inquiry.tariff.soft_limit)
+
+    def bulk(self, inquiry: Inquiry) -> float:
+        """How its work, as told, compares with that of its tariff; rough hints are taken by halves."""
+        costs = self.costs.get(inquiry.tariff, ())
+        if not inquiry.cost or len(costs) < RUNS_FEW:
+            return 1.0
+        return (1 + inquiry.cost / max(1.0, median(costs))) / 2
 
     def worthless(self, now: int, inquiry: Inquiry) -> bool:
         """A pure inquiry whose soft limit is past and that earns nothing after it."""
