Count a customer's part beyond its share at what it earns

A customer's rate at this node against its share of the fleet at the start; further tries do not count. Harm where balancers send one customer's traffic to a few nodes only.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -24,6 +24,7 @@
 from lichencleat.terms import (
     Act,
     Below,
+    Customer,
     Decision,
     Effect,
     Gauges,
@@ -54,6 +55,7 @@
     50_000  # µs before a call that never ran is tried again: lets the layer below take in its answers
 )
 RUNS_KEPT = 16  # last run times of each tariff: a few seconds' worth on a busy node
+CAME_KEPT = 24  # last arrivals of each customer: its rate over some seconds, to a fifth
 RUNS_FEW = 4  # of one tariff: with fewer, all tariffs' runs tell more
 STALL_LEAST = 700_000  # µs without any progress on full cores: far over the gap between two ends of runs
 STALL_RUNS = 3  # median run times without progress
@@ -105,6 +107,8 @@
         # what is known
         self.gauges = Gauges()
         self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
+        self.came: dict[Customer, deque[int]] = {}
+        self.nodes, self.beyond_share = machine.nodes, machine.beyond_share
         self.costs: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
         # when each was read, how long after its arrival
@@ -129,6 +133,8 @@
     def arrives(self, now: int, inquiry: Inquiry) -> None:
         self.began(now)
         self.new[inquiry] = None
+        if inquiry.customer and not inquiry.further_try:
+            self.came.setdefault(inquiry.customer, deque(maxlen=CAME_KEPT)).append(inquiry.arrived)
         if inquiry.cost:
             self.costs.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(inquiry.cost)
         self.read_times.append((now, now - inquiry.arrived))
@@ -298,9 +304,18 @@
 
     def payoff(self, inquiry: Inquiry) -> float:
         """For the core time that it takes."""
+        payoff = inquiry.tariff.payoff * self.within_share(inquiry.customer)
         if self.paid_by_work:
-            return inquiry.tariff.payoff
-        return inquiry.tariff.payoff * self.usual_run() / max(1.0, self.usual_run(inquiry.tariff))
+            return payoff
+        return payoff * self.usual_run() / max(1.0, self.usual_run(inquiry.tariff))
+
+    def within_share(self, customer: Customer | None) -> float:
+        """What an inquiry of this customer earns on the mean, the part beyond its share counted as told."""
+        came = self.came.get(customer, ()) if customer else ()
+        if len(came) < CAME_KEPT:
+            return 1.0
+        share = customer.per_second / self.nodes * (came[-1] - came[0]) / 1e6 / len(came)
+        return 1.0 if share >= 1 else share + (1 - share) * self.beyond_share
 
     def has_run(self, inquiry: Inquiry) -> bool:
         return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
