Cut the bound on calls by majority; try a pure call to a tier anew when it takes long

Told from a crowded layer by most calls still coming back quick. Also covers silent and hung nodes below; harm where all below are slow, as work is then done twice; the patience follows recent calls and the last try waits on.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -9,7 +9,7 @@
   1. the due guard: every answer goes out a period before it is due, running work included;
   2. the receipt table: a receipted inquiry runs once, and its repeats share that run;
   3. room: memory, and the crowd that may come back to the cores at once, less while cold;
-  4. calls: a bound on those in hand, let out by payoff, repeated only if known not to have run;
+  4. calls: a moving bound on those in hand, let out by payoff; one that may have run is repeated if pure;
   5. late work: what cannot end within its soft limit is not begun, and a stalled node passes work on;
   6. what callers are told: to stay away, and the free value.
 """
@@ -51,6 +51,9 @@
 CALLS_KEPT = 64  # last call times: some ten seconds' worth, so that the quick quarter outlasts a slow spell
 CALLS_FEW = 8  # of them tell how calls go now: fewer would mistake one long call for a crowd
 CALL_TRIES = 3  # of one call: further ones have cost more than the answer is worth
+CALL_PATIENCE = 3  # times the slow quarter of recent calls: one in some fifty usual calls is that long
+CALL_PATIENCE_LEAST = 300_000  # µs: three wake-ups, under which a repeat gains nothing
+FAR = 3_600_000_000  # µs: longer than any limit
 CALL_PAUSE = (
     50_000  # µs before a call that never ran is tried again: lets the layer below take in its answers
 )
@@ -86,6 +89,7 @@
         self.calls_ceiling = self.call_ceiling(machine)
         self.calls_most = min(self.calls_ceiling, float(machine.cores))
         self.calls_cut_at = 0
+        self.hedges = machine.below is Below.TIER
         self.longest_soft_limit = max((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
         self.grace, self.resolution = machine.grace, machine.resolution
         self.guard = PERIOD + 2 * machine.resolution  # an answer due sooner than this goes out now
@@ -111,6 +115,7 @@
         self.nodes, self.beyond_share = machine.nodes, machine.beyond_share
         self.costs: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
+        self.calls_well: deque[bool] = deque(maxlen=CALLS_FEW)
         # when each was read, how long after its arrival
         self.read_times: deque[tuple[int, int]] = deque(maxlen=READS_KEPT)
         self.progress_at = self.on_time_at = 0
@@ -164,12 +169,14 @@
     def call_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
         if inquiry not in self.calling:
             return
+        well = outcome is Outcome.COMPLETED
         self.call_times.append(took)
-        if outcome is not Outcome.COMPLETED or self.calls_slow():
+        self.calls_well.append(well)
+        if self.calls_slow():
             if now - took >= self.calls_cut_at:
                 self.calls_most = max(1.0, self.calls_most * CALLS_CUT)
                 self.calls_cut_at = now
-        elif len(self.calling) >= self.calls_most - 1:
+        elif well and len(self.calling) >= self.calls_most - 1:
             self.calls_most = min(self.calls_ceiling, self.calls_most + 1 / self.calls_most)
         if outcome is Outcome.COMPLETED:
             self.move(inquiry, self.running, State.RUNNING)
@@ -255,7 +262,20 @@
         if len(self.call_times) < CALLS_FEW:
             return False
         times = list(self.call_times)
-        return median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
+        failed = self.calls_well.count(False) >= CALLS_FEW / 2
+        return failed or median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
+
+    def call_patience(self) -> int:
+        """After this a pure call to one of many nodes does better with another of them.
+
+        Guards against a few slow or silent nodes below. Harm where all are slow: the work is then done twice,
+        so it follows the recent calls, and the last try waits on.
+        """
+        if len(self.call_times) < CALLS_FEW:
+            return FAR
+        return max(
+            CALL_PATIENCE_LEAST, int(CALL_PATIENCE * sorted(self.call_times)[len(self.call_times) * 3 // 4])
+        )
 
     def stalled(self, now: int) -> bool:
         """No run ended or reached a call for long, though the cores have work: a hang, or all but one.
@@ -484,7 +504,10 @@
             self.move(inquiry, self.calling, State.CALLING)
             inquiry.called_at = now
             until = min(inquiry.due, max(soft, now + PERIOD) if late else inquiry.due)
-            return Decision(Act.CALL, inquiry, span=max(until - now, self.guard))
+            span = max(until - now, self.guard)
+            if pure and self.hedges and inquiry.calls_failed < CALL_TRIES - 1:
+                span = min(span, self.call_patience())
+            return Decision(Act.CALL, inquiry, span=span)
         return None
 
     def start_held(self, now: int) -> Decision | None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lichencleat.decide import Node
-from lichencleat.terms import Act, Effect, Inquiry, Machine, Tariff
+from lichencleat.terms import Act, Below, Effect, Inquiry, Machine, Outcome, Tariff
 
 SECOND = 1_000_000
 
@@ -72,3 +72,38 @@
     decision = node.answer_due(3 * SECOND)
     assert decision.act is Act.DEFER and decision.inquiry is late
     assert node.stop_unwanted(3 * SECOND).act is Act.STOP
+
+
+@pytest.fixture
+def caller(receipted):
+    machine = Machine(cores=2, crowd=8.0, memory_kb=10_000.0, below=Below.TIER, tariffs=[receipted])
+    return Node(machine, random.Random(1))
+
+
+def test_a_few_failed_calls_do_not_cut_the_bound_and_most_failed_do(caller, tariff):
+    for at in range(8):
+        call = Inquiry(tariff, arrived=0, due=5 * SECOND)
+        caller.calling[call] = None
+        caller.call_ended(at * SECOND, call, Outcome.OVERDUE if at in (1, 5) else Outcome.COMPLETED, 100)
+    before = caller.calls_most
+    for at in range(8, 12):
+        call = Inquiry(tariff, arrived=0, due=5 * SECOND)
+        caller.calling[call] = None
+        caller.call_ended(at * SECOND, call, Outcome.TURNED_AWAY, 100)
+    assert caller.calls_most < before and before >= 2
+
+
+def test_a_call_that_may_have_run_is_repeated_for_a_pure_inquiry_only(caller, tariff, receipted):
+    for one, act in ((tariff, Act.CALL), (receipted, Act.GIVE_UP)):
+        inquiry = Inquiry(one, arrived=0, due=5 * SECOND, started=0)
+        caller.calling[inquiry] = None
+        caller.call_ended(0, inquiry, Outcome.OVERDUE, SECOND)
+        assert caller.let_out_calls(SECOND).act is act
+
+
+def test_a_pure_call_to_a_tier_is_not_waited_for_much_longer_than_usual(caller, tariff, receipted):
+    caller.call_times.extend([100_000] * 8)
+    for one, longest in ((tariff, SECOND), (receipted, 5 * SECOND)):
+        caller.asking.clear()
+        caller.asking[Inquiry(one, arrived=0, due=5 * SECOND, started=0)] = None
+        assert 0 < caller.let_out_calls(0).span <= longest
