--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -114,8 +114,7 @@
         self.came: dict[Customer, deque[int]] = {}
         self.nodes, self.beyond_share = machine.nodes, machine.beyond_share
         self.costs: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
-        self.call_times: deque[int] = deque(maxlen=CALLS_KEPT)
-        self.calls_well: deque[bool] = deque(maxlen=CALLS_FEW)
+        self.call_times: deque[tuple[int, bool]] = deque(maxlen=CALLS_KEPT)  # and whether it came back
         # when each was read, how long after its arrival
         self.read_times: deque[tuple[int, int]] = deque(maxlen=READS_KEPT)
         self.progress_at = self.on_time_at = 0
@@ -170,8 +169,8 @@
         if inquiry not in self.calling:
             return
         well = outcome is Outcome.COMPLETED
-        self.call_times.append(took)
-        self.calls_well.append(well)
+        if not (self.hedges and outcome is Outcome.OVERDUE):  # that tells our patience, not how calls go
+            self.call_times.append((took, well))
         if self.calls_slow():
             if now - took >= self.calls_cut_at:
                 self.calls_most = max(1.0, self.calls_most * CALLS_CUT)
@@ -259,10 +258,10 @@
         return len(self.running) >= self.cores or (self.gauges.busy or 0.0) > 0.9
 
     def calls_slow(self) -> bool:
-        if len(self.call_times) < CALLS_FEW:
+        times = [took for took, _ in self.call_times]
+        if len(times) < CALLS_FEW:
             return False
-        times = list(self.call_times)
-        failed = self.calls_well.count(False) >= CALLS_FEW / 2
+        failed = [well for _, well in self.call_times][-CALLS_FEW:].count(False) >= CALLS_FEW / 2
         return failed or median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
 
     def call_patience(self) -> int:
@@ -271,11 +270,10 @@
         Guards against a few slow or silent nodes below. Harm where all are slow: the work is then done twice,
         so it follows the recent calls, and the last try waits on.
         """
-        if len(self.call_times) < CALLS_FEW:
+        back = sorted(took for took, well in self.call_times if well)
+        if len(back) < CALLS_FEW:
             return FAR
-        return max(
-            CALL_PATIENCE_LEAST, int(CALL_PATIENCE * sorted(self.call_times)[len(self.call_times) * 3 // 4])
-        )
+        return max(CALL_PATIENCE_LEAST, CALL_PATIENCE * back[len(back) * 3 // 4])
 
     def stalled(self, now: int) -> bool:
         """No run ended or reached a call for long, though the cores have work: a hang, or all but one.
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -102,7 +102,7 @@
 
 
 def test_a_pure_call_to_a_tier_is_not_waited_for_much_longer_than_usual(caller, tariff, receipted):
-    caller.call_times.extend([100_000] * 8)
+    caller.call_times.extend([(100_000, True)] * 8 + [(9 * SECOND, False)] * 8)
     for one, longest in ((tariff, SECOND), (receipted, 5 * SECOND)):
         caller.asking.clear()
         caller.asking[Inquiry(one, arrived=0, due=5 * SECOND, started=0)] = None
