--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -149,7 +149,7 @@
         if outcome in (Outcome.COMPLETED, Outcome.ERRED):
             inquiry.answered = True
         inquiry.succeeded = outcome is Outcome.COMPLETED
-        if inquiry.succeeded and now <= inquiry.arrived + inquiry.tariff.soft_limit:
+        if inquiry.succeeded and now <= self.soft_end(inquiry):
             self.on_time_at = now
         self.progress_at = now
         self.leave(inquiry)
@@ -305,7 +305,7 @@
             return False
         wait = self.run_time(now) * ahead / self.limit
         own = self.run_time(now, inquiry.tariff) * self.bulk(inquiry)
-        return now + wait + own > min(inquiry.due, inquiry.arrived + inquiry.tariff.soft_limit)
+        return now + wait + own > min(inquiry.due, self.soft_end(inquiry))
 
     def bulk(self, inquiry: Inquiry) -> float:
         """How its work, as told, compares with that of its tariff; rough hints are taken by halves."""
@@ -314,10 +314,13 @@
             return 1.0
         return (1 + inquiry.cost / max(1.0, median(costs))) / 2
 
+    def soft_end(self, inquiry: Inquiry) -> int:
+        return inquiry.arrived + inquiry.tariff.soft_limit
+
     def worthless(self, now: int, inquiry: Inquiry) -> bool:
         """A pure inquiry whose soft limit is past and that earns nothing after it."""
         tariff = inquiry.tariff
-        late = now >= inquiry.arrived + tariff.soft_limit
+        late = now >= self.soft_end(inquiry)
         return late and tariff.effect is Effect.PURE and not tariff.late_payoff and self.can_stop
 
     def payoff(self, inquiry: Inquiry) -> float:
@@ -407,11 +410,16 @@
         return None
 
     def stop_unwanted(self, now: int) -> Decision | None:
-        """Work for which nobody waits frees its core, unless a repeat waits for its outcome."""
+        """Work for which nobody waits frees its core, unless a repeat waits for its outcome.
+
+        Nor is a receipted run stopped within its soft limit: its caller mostly asks again, and may then share
+        the outcome, while a stopped one can neither run again nor be deferred. Harm: one run for nobody.
+        """
         while self.to_stop:
             inquiry = next(iter(self.to_stop))
             del self.to_stop[inquiry]
             wanted = any(each.repeats is inquiry for each in self.sharing)
+            wanted |= inquiry.tariff.effect is Effect.RECEIPTED and now < self.soft_end(inquiry)
             if self.can_stop and inquiry in self.running and not wanted:
                 return Decision(Act.STOP, inquiry)
         return None
@@ -489,7 +497,7 @@
                 self.move(inquiry, self.calling, State.CALLING)  # the host ends it
                 continue
             pure = inquiry.tariff.effect is Effect.PURE
-            soft = inquiry.arrived + inquiry.tariff.soft_limit
+            soft = self.soft_end(inquiry)
             late = pure and not inquiry.tariff.late_payoff
             spent = inquiry.calls_failed >= CALL_TRIES or (late and now >= soft)
             if spent and inquiry.tariff.payoff_without_call and now < soft:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -107,3 +107,13 @@
         caller.asking.clear()
         caller.asking[Inquiry(one, arrived=0, due=5 * SECOND, started=0)] = None
         assert 0 < caller.let_out_calls(0).span <= longest
+
+
+def test_a_receipted_run_whose_caller_left_goes_on_for_its_repeat(node, tariff, receipted):
+    node.can_stop = True
+    kept = Inquiry(receipted, arrived=0, due=5 * SECOND, started=0, answered=True)
+    dropped = Inquiry(tariff, arrived=0, due=5 * SECOND, started=0, answered=True)
+    node.running.update({kept: None, dropped: None})
+    node.to_stop.update({kept: None, dropped: None})
+    assert node.stop_unwanted(SECOND).inquiry is dropped
+    assert node.stop_unwanted(SECOND) is None
