Link repeats of one deferred try, strike unrun entries, honour stretch, freshness and full checks

Cause, found by reading: two repeats of a try that was deferred, read in one batch, each took the entry and could both run. Now the first takes its place. Entries of tries that never ran are struck, the soft limit's stretch, shared answers of pure inquiries and checks from store are honoured where settings state them, and a timer that fires early no longer stops the wake-ups.

--- a/lichencleat/benchlink/wire.py
+++ b/lichencleat/benchlink/wire.py
@@ -83,6 +83,7 @@
             hard_limit=micros(each.get("deadline")),
             payoff=each.get("worth") or 0.0,
             late_payoff=each.get("lateWorth") or 0.0,
+            stretch=each.get("aimStretch") or 0.0,
             window=micros(each.get("window")),
             calls=bool(calls[at]) if at < len(calls) else False,
             payoff_without_call=(without[at] or 0.0) if at < len(without) else 0.0,
@@ -108,7 +109,8 @@
         calls_share=own.get("callsOut") or 0.0,
         calls_span=micros(own.get("depWindow")),
         call_lingers=micros(own.get("lingers")),
-        shares_answers=bool(own.get("fresh")),
+        fresh=micros(own.get("fresh")),
+        full_checks=bool(own.get("fullChecks")),
         grace=micros(rules.get("stopSendingWithin")),
         slack=micros(rules.get("answerSlack")),
         resolution=micros(told.get("resolution")),
@@ -146,7 +148,7 @@
 
     def inbound(self, now: int, corr: str, qos: str, *rest: Any) -> None:
         rest += (None,) * (10 - len(rest))
-        place, who, repeat_of, org, _subject, marks, cost, left, size, backlog = rest[:10]
+        place, who, repeat_of, org, subject, marks, cost, left, size, backlog = rest[:10]
         if qos not in self.tariffs:
             raise BadInputError(f"inbound {corr!r}: unknown class {qos!r}")
         tariff, arrived = self.tariffs[qos], now - micros(backlog)
@@ -160,6 +162,7 @@
             customer=self.customers.get(org) if org else None,
             repeats=self.inquiries.get(repeat_of) if repeat_of else None,
             repeats_unknown=bool(repeat_of) and repeat_of not in self.inquiries,
+            has_subject=bool(subject),
             further_try=bool((marks or 0) & FURTHER_TRY),
             cost=micros(cost) if (marks or 0) & HINTED else 0,
             size_kb=size or 0.0,
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -45,6 +45,7 @@
 CROWDED = 1.34  # wanting a core, per core: beyond a third more than cores, more runs only slow each other
 CROWD_PART = 0.6  # of the crowd a node survives: what waits on calls may come back to the cores at once
 MEMORY_PART = 0.85  # of the memory: leaves room for what is being read while decisions are made
+ENTRY_PART = 0.5  # of the memory part: entries of pure inquiries only save work, so runs come first
 CALLS_PART = 0.7  # of this node's part of what the dependency survives: cold nodes call more, calls linger
 CALLS_CUT = 0.8  # of the bound, once for each round of calls that comes back slow or failed
 CALLS_SLOW = 2.5  # last few calls, in the quick quarter of those kept: beyond chance, it is crowded below
@@ -89,6 +90,7 @@
         self.calls_ceiling = self.call_ceiling(machine)
         self.calls_most = min(self.calls_ceiling, float(machine.cores))
         self.calls_cut_at = 0
+        self.fresh = machine.fresh
         self.hedges = machine.below is Below.TIER
         self.longest_soft_limit = max((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
         self.grace, self.resolution = machine.grace, machine.resolution
@@ -122,7 +124,8 @@
         self.deferred_lately = 0
         self.leaves_at: int | None = None
         self.no_run_after: int | None = None
-        self.healthy = self.said_healthy = True
+        self.healthy = True
+        self.said_healthy = None if machine.full_checks else True  # told once, checks are answered from store
         self.ease = 0.0  # share of their load that callers are asked to keep back
         self.said = -1.0
         self.wake_at = 0
@@ -203,8 +206,7 @@
 
     def wakes(self, now: int, gauges: Gauges) -> None:
         self.gauges = gauges
-        if now >= self.wake_at:
-            self.wake_at = 0
+        self.wake_at = 0
 
     def began(self, now: int) -> None:
         if self.started_at is None:
@@ -315,7 +317,10 @@
         return (1 + inquiry.cost / max(1.0, median(costs))) / 2
 
     def soft_end(self, inquiry: Inquiry) -> int:
-        return inquiry.arrived + inquiry.tariff.soft_limit
+        tariff = inquiry.tariff
+        return inquiry.arrived + min(
+            tariff.hard_limit, tariff.soft_limit + int(tariff.stretch * inquiry.cost)
+        )
 
     def worthless(self, now: int, inquiry: Inquiry) -> bool:
         """A pure inquiry whose soft limit is past and that earns nothing after it."""
@@ -355,6 +360,7 @@
         steps: tuple[Callable[[int], Decision | None], ...] = (
             self.answer_due,
             self.stop_unwanted,
+            self.strike_unrun,
             self.judge_new,
             self.review_held,
             self.let_out_calls,
@@ -466,30 +472,51 @@
 
     def record(self, now: int, inquiry: Inquiry) -> Decision:
         """The entry is there before the run, and covers the window counted from the arrival."""
-        until = inquiry.arrived + inquiry.tariff.window + self.guard
+        lasts = inquiry.tariff.window if inquiry.tariff.effect is Effect.RECEIPTED else self.fresh
+        until = inquiry.arrived + lasts + self.guard
         self.receipts[inquiry] = until
         return Decision(Act.RECORD, inquiry, span=max(until - now, self.guard))
 
     def review_held(self, now: int) -> Decision | None:
+        """Repeats share a run that there is; what is no use any more goes; the rest has its entry."""
         for inquiry in list(self.held):
             first = inquiry.repeats
+            while first is not None and first.successor is not None:
+                first = first.successor
             if inquiry.repeats_unknown or (first is not None and first.started is not None):
-                if first is not None and first.state is State.ENDED and not first.succeeded:
+                if first is None or first.state is not State.ENDED or first.succeeded:
+                    self.move(inquiry, self.sharing, State.SHARING)
+                    return Decision(Act.SHARE, inquiry)
+                if inquiry.tariff.effect is not Effect.PURE:
                     return self.give_up(inquiry)  # it ran and came to nothing: neither rerun nor deferred
-                self.move(inquiry, self.sharing, State.SHARING)
-                return Decision(Act.SHARE, inquiry)
             if first is not None:
                 if first.state is not State.ENDED:
                     continue  # its first try is held here: that one runs, and this one shares
-                inquiry.repeats = None
+                # Guards against two repeats of one deferred try that are read together: the first of them
+                # takes its place, and the second repeats that one.
+                first.successor, inquiry.repeats = inquiry, None
+                self.receipts.pop(first, None)
             if self.has_run(inquiry):
                 return self.give_up(inquiry)
             if not self.may_run(inquiry) or self.too_late(now, inquiry) or self.stalled(now):
                 return self.defer(now, inquiry)
-            if inquiry.tariff.effect is Effect.RECEIPTED and inquiry not in self.receipts:
+            if self.takes_entry(inquiry) and inquiry not in self.receipts:
                 return self.record(now, inquiry)  # however it came into the hold: without, it never starts
         return None
 
+    def takes_entry(self, inquiry: Inquiry) -> bool:
+        if inquiry.tariff.effect is Effect.RECEIPTED:
+            return True
+        return self.fresh > 0 and inquiry.has_subject and self.used_kb() < self.memory_kb * ENTRY_PART
+
+    def strike_unrun(self, now: int) -> Decision | None:
+        """The entry of a try that ended without a run guards nothing and takes memory."""
+        for inquiry in self.receipts:
+            if inquiry.state is State.ENDED and inquiry.started is None:
+                del self.receipts[inquiry]
+                return Decision(Act.STRIKE, inquiry)
+        return None
+
     def let_out_calls(self, now: int) -> Decision | None:
         """Calls go out by payoff, under the bound."""
         for inquiry in sorted(self.asking, key=self.payoff, reverse=True):
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -89,6 +89,7 @@
     hard_limit: int = 0
     payoff: float = 1.0
     late_payoff: float = 0.0  # share of the payoff earned after the soft limit
+    stretch: float = 0.0  # the soft limit grows by this multiple of the inquiry's own work
     window: int = 0  # receipted: how long after its arrival it may come again
     calls: bool = False
     payoff_without_call: float = 0.0  # share of the payoff kept where a call was omitted
@@ -121,7 +122,8 @@
     calls_share: float = 0.0  # this node's part of the calls that the dependency survives
     calls_span: int = 0
     call_lingers: int = 0
-    shares_answers: bool = False  # answers of pure inquiries may serve repeats
+    fresh: int = 0  # how long the answer of a pure inquiry may serve its repeats, 0 for never
+    full_checks: bool = False  # health checks do real work unless answered from store
     grace: int = 0  # after the notice to leave, what arrives later is not run
     slack: int = 0
     resolution: int = 0
@@ -143,6 +145,8 @@
     customer: Customer | None = None
     repeats: Inquiry | None = None
     repeats_unknown: bool = False  # it repeats one that the host no longer has
+    successor: Inquiry | None = None  # the repeat that took its place, as it never ran
+    has_subject: bool = False
     further_try: bool = False
     cost: int = 0  # core time expected, 0 where not told
     size_kb: float = 0.0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lichencleat.decide import Node
-from lichencleat.terms import Act, Below, Effect, Inquiry, Machine, Outcome, Tariff
+from lichencleat.terms import Act, Below, Effect, Inquiry, Machine, Outcome, State, Tariff
 
 SECOND = 1_000_000
 
@@ -117,3 +117,27 @@
     node.to_stop.update({kept: None, dropped: None})
     assert node.stop_unwanted(SECOND).inquiry is dropped
     assert node.stop_unwanted(SECOND) is None
+
+
+def test_two_repeats_of_one_deferred_try_get_one_run(node, receipted):
+    first = Inquiry(receipted, arrived=0, due=5 * SECOND, state=State.ENDED)
+    again = [Inquiry(receipted, arrived=SECOND, due=6 * SECOND, repeats=first) for _ in range(2)]
+    node.held.update(dict.fromkeys(again))
+    assert node.review_held(SECOND).act is Act.RECORD
+    assert node.start_held(SECOND).inquiry is again[0]
+    assert node.start_held(SECOND) is None
+    shared = node.review_held(SECOND)
+    assert shared.act is Act.SHARE and shared.inquiry is again[1]
+
+
+def test_a_repeat_of_a_run_that_came_to_nothing_is_neither_run_nor_deferred(node, receipted):
+    first = Inquiry(receipted, arrived=0, due=5 * SECOND, state=State.ENDED, started=0)
+    node.held[Inquiry(receipted, arrived=SECOND, due=6 * SECOND, repeats=first)] = None
+    assert node.review_held(SECOND).act is Act.GIVE_UP
+
+
+def test_the_entry_of_a_try_that_never_ran_is_struck(node, receipted):
+    node.receipts[Inquiry(receipted, arrived=0, due=SECOND, state=State.ENDED, started=0)] = 9 * SECOND
+    assert node.strike_unrun(SECOND) is None
+    node.receipts[Inquiry(receipted, arrived=0, due=SECOND, state=State.ENDED)] = 9 * SECOND
+    assert node.strike_unrun(SECOND).act is Act.STRIKE
