--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -43,6 +43,8 @@
 )
 CLIMB = 2  # running limit per period: doubles a six-core limit in a third of a second
 CROWDED = 1.34  # wanting a core, per core: beyond a third more than cores, more runs only slow each other
+LIMIT_LEAST = 1 / 3  # of the cores: reading and connections may take the rest
+BUSY = 0.9  # of the cores, as the host gauges it: nothing to gain from more runs
 CROWD_PART = 0.6  # of the crowd a node survives: what waits on calls may come back to the cores at once
 MEMORY_PART = 0.85  # of the memory: leaves room for what is being read while decisions are made
 ENTRY_PART = 0.5  # of the memory part: entries of pure inquiries only save work, so runs come first
@@ -62,12 +64,17 @@
 CAME_KEPT = 24  # last arrivals of each customer: its rate over some seconds, to a fifth
 RUNS_FEW = 4  # of one tariff: with fewer, all tariffs' runs tell more
 STALL_LEAST = 700_000  # µs without any progress on full cores: far over the gap between two ends of runs
+SICK_RUNS = 0.5  # of the running limit: with fewer runs, chance alone may keep them all late
 STALL_RUNS = 3  # median run times without progress
 FULL_LONG = 1_000_000  # µs of a full hold before the newest go first: several turns of the hold
 TOLD_UP = 0.08  # free value, per period with deferrals: callers hear it about once a second
 TOLD_DOWN = 0.02  # per period without: gentler, so that the load does not come back in one wave
 TOLD_MOST = 0.85  # leaves the best-paid callers a way in
+TOLD_STEP = 0.02  # a smaller change is not worth saying
+WINDOW_WIDE = 3  # times what a node can have in hand: callers differ much in what they send
+WINDOW_LEAST = 0.2  # outstanding for each caller: below it a node would hear from nobody
 READ_LATE = 150_000  # µs from arrival to reading: several readings' worth, the cores are short for reading
+DROWNED = 0.5  # of the longest soft limit, from arrival to reading: half is gone before anything begins
 READS_KEPT = 16  # last such times: about a second's arrivals
 READS_SPAN = 3_000_000  # µs that they count: a node that clears its unread lot must not go on looking drowned
 ADVICE = 300_000  # µs to stay away when full: a few run times, the hold will have turned over
@@ -87,9 +94,11 @@
         self.paid_by_work = machine.paid_by_work
         self.told, self.callers = machine.told, machine.callers
         self.advice_most = machine.advice_most
-        self.calls_ceiling = self.call_ceiling(machine)
-        self.calls_most = min(self.calls_ceiling, float(machine.cores))
+        shared = machine.below is Below.SHARED and machine.calls_share > 0
+        self.calls_ceiling = machine.calls_share * CALLS_PART if shared else float("inf")
+        self.calls_most = max(1.0, min(self.calls_ceiling, float(machine.cores)))
         self.calls_cut_at = 0
+        self.calls_seen: deque[int] = deque(maxlen=max(1, machine.calls_span // PERIOD))
         self.fresh = machine.fresh
         self.hedges = machine.below is Below.TIER
         self.longest_soft_limit = max((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
@@ -130,15 +139,9 @@
         self.said = -1.0
         self.wake_at = 0
 
-    def call_ceiling(self, machine: Machine) -> float:
-        if machine.below is Below.SHARED and machine.calls_share:
-            return max(1.0, machine.calls_share * CALLS_PART)
-        return float("inf")
-
     # --- inputs: they only update what is known ---
 
     def arrives(self, now: int, inquiry: Inquiry) -> None:
-        self.began(now)
         self.new[inquiry] = None
         if inquiry.customer and not inquiry.further_try:
             self.came.setdefault(inquiry.customer, deque(maxlen=CAME_KEPT)).append(inquiry.arrived)
@@ -157,9 +160,7 @@
         self.progress_at = now
         self.leave(inquiry)
         if not inquiry.answered and outcome is Outcome.STOPPED:
-            inquiry.stopped = True
-            self.held[inquiry] = None
-            inquiry.state = State.HELD
+            self.move(inquiry, self.held, State.HELD)
         else:
             inquiry.state = State.ENDED
 
@@ -179,7 +180,7 @@
                 self.calls_most = max(1.0, self.calls_most * CALLS_CUT)
                 self.calls_cut_at = now
         elif well and len(self.calling) >= self.calls_most - 1:
-            self.calls_most = min(self.calls_ceiling, self.calls_most + 1 / self.calls_most)
+            self.calls_most = max(1.0, min(self.calls_ceiling, self.calls_most + 1 / self.calls_most))
         if outcome is Outcome.COMPLETED:
             self.move(inquiry, self.running, State.RUNNING)
             return
@@ -197,7 +198,6 @@
             inquiry.state = State.ENDED
 
     def must_leave(self, now: int, at: int) -> None:
-        self.began(now)
         self.leaves_at = at - LEAVE_MARGIN
         self.no_run_after = now + self.grace
         self.healthy = False
@@ -208,25 +208,16 @@
         self.gauges = gauges
         self.wake_at = 0
 
-    def began(self, now: int) -> None:
-        if self.started_at is None:
-            self.started_at = self.progress_at = self.on_time_at = now
-
     # --- figures worked out when needed ---
 
     def share_of_speed(self, now: int) -> float:
         """At least this much of full speed, after a cold start."""
-        age = now - (now if self.started_at is None else self.started_at)
-        if age >= self.warm_after:
-            return 1.0
-        return self.cold_from + (1 - self.cold_from) * age / self.warm_after
+        age = 0 if self.started_at is None else now - self.started_at
+        return min(1.0, self.cold_from + (1 - self.cold_from) * age / max(1, self.warm_after))
 
     def crowd_bound(self, now: int) -> float:
         return self.cores * (1 + (self.crowd - 1) * self.share_of_speed(now)) * CROWD_PART
 
-    def in_hand(self) -> int:
-        return len(self.held) + len(self.running)
-
     def used_kb(self) -> float:
         ran: Iterable[Inquiry] = (*self.running, *self.asking, *self.calling)
         waiting: Iterable[Inquiry] = (*self.new, *self.held, *self.sharing)
@@ -256,9 +247,6 @@
         times = [took for at, took in self.read_times if now - at <= READS_SPAN]
         return median(times) if times else 0.0
 
-    def busy(self) -> bool:
-        return len(self.running) >= self.cores or (self.gauges.busy or 0.0) > 0.9
-
     def calls_slow(self) -> bool:
         times = [took for took, _ in self.call_times]
         if len(times) < CALLS_FEW:
@@ -266,6 +254,12 @@
         failed = [well for _, well in self.call_times][-CALLS_FEW:].count(False) >= CALLS_FEW / 2
         return failed or median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
 
+    def calls_spent(self) -> bool:
+        """Where this node's part is under one call, one at a time is too many: their mean is bounded."""
+        return self.calls_ceiling < 1 and sum(self.calls_seen) >= self.calls_ceiling * (
+            self.calls_seen.maxlen or 1
+        )
+
     def call_patience(self) -> int:
         """After this a pure call to one of many nodes does better with another of them.
 
@@ -293,7 +287,7 @@
         overloaded node still ends some in time. It does harm where all nodes are struck at once.
         """
         return self.stalled(now) or (
-            len(self.running) >= min(self.cores, self.limit) / 2
+            len(self.running) >= min(self.cores, self.limit) * SICK_RUNS
             and now - self.on_time_at > self.longest_soft_limit
         )
 
@@ -347,14 +341,13 @@
         return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
 
     def may_run(self, inquiry: Inquiry) -> bool:
-        if inquiry.stopped and inquiry.tariff.effect is not Effect.PURE:
-            return False
         return self.no_run_after is None or inquiry.arrived <= self.no_run_after
 
     # --- decisions, pulled one by one ---
 
     def next_decision(self, now: int) -> Decision | None:
-        self.began(now)
+        if self.started_at is None:
+            self.started_at = self.progress_at = self.on_time_at = now
         if now >= self.next_sample:
             self.sample(now)
         steps: tuple[Callable[[int], Decision | None], ...] = (
@@ -379,13 +372,13 @@
         waits = len(self.held)
         wanting = len(self.running) if self.gauges.wanting_core is None else self.gauges.wanting_core
         if wanting > self.cores * CROWDED:
-            self.limit = max(self.cores / 3, self.limit - 1)
+            self.limit = max(self.cores * LIMIT_LEAST, self.limit - 1)
         elif waits and len(self.running) >= int(self.limit) and wanting <= self.cores:
             self.limit = min(self.crowd_bound(now), self.limit + CLIMB)
         self.limit = max(1.0, min(self.limit, self.crowd_bound(now)))
         self.cap += GAIN * (self.reference - waits)
-        self.cap = max(self.limit, min(self.cap, self.in_hand() + self.limit))
-        if not waits or self.in_hand() < self.cap - 1:
+        self.cap = max(self.limit, min(self.cap, len(self.held) + len(self.running) + self.limit))
+        if not waits or len(self.held) + len(self.running) < self.cap - 1:
             self.full_since = None
         elif self.full_since is None:
             self.full_since = now
@@ -393,7 +386,10 @@
         step = TOLD_UP if pressed else -TOLD_DOWN
         self.ease = min(TOLD_MOST, max(0.0, self.ease + step))
         self.deferred_lately = 0
-        drowned = self.read_time(now) > self.longest_soft_limit / 2  # refuses too late for anyone to heed it
+        self.calls_seen.append(len(self.calling))
+        drowned = (
+            self.read_time(now) > self.longest_soft_limit * DROWNED
+        )  # refuses too late for anyone to heed it
         self.healthy = self.leaves_at is None and not drowned and not self.sick(now)
         self.to_stop.update((each, None) for each in self.running if each.answered)  # a hang ignores it
         for inquiry in [each for each, until in self.receipts.items() if until <= now]:
@@ -437,8 +433,7 @@
             if self.leaves_at is not None:
                 inquiry.due = min(inquiry.due, self.leaves_at + self.guard)
             if inquiry.repeats or inquiry.repeats_unknown:
-                del self.new[inquiry]
-                self.held[inquiry] = None
+                self.move(inquiry, self.held, State.HELD)
                 continue
             out = (
                 inquiry.due <= now + self.guard
@@ -449,27 +444,23 @@
             )
             if not out and self.full():
                 worst = min(self.held, key=lambda each: (self.payoff(each), -each.arrived))
-                if self.payoff(worst) < self.payoff(inquiry) and self.free_to_defer(worst):
-                    del self.new[inquiry]
-                    self.held[inquiry] = None
+                if self.payoff(worst) < self.payoff(inquiry) and not (self.has_run(worst) or worst.repeats):
+                    self.move(inquiry, self.held, State.HELD)
                     return self.defer(now, worst)
                 out = True
             if out:
                 return self.defer(now, inquiry)
-            del self.new[inquiry]
-            self.held[inquiry] = None
+            self.move(inquiry, self.held, State.HELD)
         return None
 
     def full(self) -> bool:
-        return bool(self.held) and (self.busy() or self.clogged()) and self.in_hand() >= self.cap
+        busy = len(self.running) >= self.cores or (self.gauges.busy or 0.0) > BUSY or self.clogged()
+        return bool(self.held) and busy and len(self.held) + len(self.running) >= self.cap
 
     def clogged(self) -> bool:
         """More wait to be let out than are out: what is begun now would only wait at its call."""
         return len(self.asking) >= self.calls_most
 
-    def free_to_defer(self, inquiry: Inquiry) -> bool:
-        return not self.has_run(inquiry) and inquiry.repeats is None
-
     def record(self, now: int, inquiry: Inquiry) -> Decision:
         """The entry is there before the run, and covers the window counted from the arrival."""
         lasts = inquiry.tariff.window if inquiry.tariff.effect is Effect.RECEIPTED else self.fresh
@@ -482,7 +473,7 @@
         for inquiry in list(self.held):
             first = inquiry.repeats
             while first is not None and first.successor is not None:
-                first = first.successor
+                first = inquiry.repeats = first.successor
             if inquiry.repeats_unknown or (first is not None and first.started is not None):
                 if first is None or first.state is not State.ENDED or first.succeeded:
                     self.move(inquiry, self.sharing, State.SHARING)
@@ -532,10 +523,9 @@
                 return Decision(Act.OMIT_CALL, inquiry)
             if spent:
                 return self.give_up(inquiry)
-            if now < inquiry.call_after or len(self.calling) >= self.calls_most:
+            if now < inquiry.call_after or len(self.calling) >= self.calls_most or self.calls_spent():
                 continue
             self.move(inquiry, self.calling, State.CALLING)
-            inquiry.called_at = now
             until = min(inquiry.due, max(soft, now + PERIOD) if late else inquiry.due)
             span = max(until - now, self.guard)
             if pure and self.hedges and inquiry.calls_failed < CALL_TRIES - 1:
@@ -573,7 +563,7 @@
             self.said_healthy = self.healthy
             return Decision(Act.HEALTH, flag=self.healthy)
         amount = self.free_value()
-        if amount is not None and abs(amount - self.said) > 0.02 * max(1.0, abs(self.said)):
+        if amount is not None and abs(amount - self.said) > TOLD_STEP * max(1.0, abs(self.said)):
             self.said = amount
             return Decision(Act.TELL, amount=amount)
         if not self.wake_at:
@@ -588,7 +578,7 @@
             return round(1 - self.ease, 2)
         if self.told is Told.WINDOW:
             outstanding = len(self.asking) + len(self.calling) + self.limit + self.reference
-            return round(max(0.2, 3 * outstanding * (1 - self.ease) / self.callers), 1)
+            return round(max(WINDOW_LEAST, WINDOW_WIDE * outstanding * (1 - self.ease) / self.callers), 1)
         return None
 
     # --- answers ---
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -115,22 +115,18 @@
     warm_after: int = 0
     halt: Halt = Halt.NONE
     told: Told = Told.NOTHING
-    told_kept: int = 0
     callers: int = 1
     advice_most: int = 0  # 0 where advice goes unheard
     below: Below = Below.NOTHING
     calls_share: float = 0.0  # this node's part of the calls that the dependency survives
     calls_span: int = 0
-    call_lingers: int = 0
     fresh: int = 0  # how long the answer of a pure inquiry may serve its repeats, 0 for never
     full_checks: bool = False  # health checks do real work unless answered from store
     grace: int = 0  # after the notice to leave, what arrives later is not run
-    slack: int = 0
     resolution: int = 0
     nodes: int = 1
     beyond_share: float = 1.0  # payoff of what a customer sends beyond its share
     paid_by_work: bool = False  # the payoff is for each unit of work, not for each inquiry
-    list_follows_health: bool = False
     tariffs: list[Tariff] = field(default_factory=list)
     customers: list[Customer] = field(default_factory=list)
 
@@ -153,9 +149,7 @@
     state: State = State.HELD
     answered: bool = False
     started: int | None = None
-    stopped: bool = False
     succeeded: bool = False
-    called_at: int = 0
     call_after: int = 0
     calls_failed: int = 0
 
