Test the loop, the bounds and the four rules; weigh payoff before any run is known

Cause, found by the test of the cap: until the first run had ended every payoff weighed 0 where payoff is for each inquiry, so nothing was displaced for a better one. Tests of the adapter too, bad input included.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -326,9 +326,8 @@
     def payoff(self, inquiry: Inquiry) -> float:
         """For the core time that it takes."""
         payoff = inquiry.tariff.payoff * self.within_share(inquiry.customer)
-        if self.paid_by_work:
-            return payoff
-        return payoff * self.usual_run() / max(1.0, self.usual_run(inquiry.tariff))
+        own = self.usual_run(inquiry.tariff)
+        return payoff if self.paid_by_work or not own else payoff * self.usual_run() / own
 
     def within_share(self, customer: Customer | None) -> float:
         """What an inquiry of this customer earns on the mean, the part beyond its share counted as told."""
--- /dev/null
+++ b/tests/test_benchlink.py
@@ -0,0 +1,66 @@
+import json
+
+import pytest
+
+from lichencleat.benchlink.wire import BadInputError, Wire
+
+TOLD = {
+    "classes": [{"name": "plain", "aim": 1.0, "deadline": 3.0, "effect": "free", "worth": 1.0}],
+    "specifics": {
+        "cores": 2,
+        "memoryKb": 10000.0,
+        "blowup": 4.0,
+        "gauges": ["cpu_busy", "odd"],
+        "halt": None,
+    },
+    "unheard_of": 7,
+}
+START = ["openInstance", 5, TOLD]
+READ = ["inbound", "00000000000000a1", "plain", 0.5, 1, None, None, None, 0, None, 0, 10.0, 0.01]
+
+
+@pytest.fixture
+def wire():
+    return Wire()
+
+
+def batch(wire, *events, who=0, turn=1, clock=10.0):
+    line = json.dumps({"clock": clock, "turn": turn, "nodes": [{"who": who, "inbox": list(events)}]})
+    return json.loads(wire.answer(line))
+
+
+def test_a_read_inquiry_is_run_and_a_wake_up_asked_for(wire):
+    reply = batch(wire, START, READ)
+    assert reply["turn"] == 1 and reply["nodes"][0]["who"] == 0
+    assert ["admit", "00000000000000a1"] in reply["nodes"][0]["outbox"]
+    assert ["notifyMe", 0.1, "wake"] in reply["nodes"][0]["outbox"]
+
+
+def test_an_instance_may_die_and_start_again_in_one_batch(wire):
+    batch(wire, START)
+    assert batch(wire, ["exit"], START, READ)["nodes"]
+    assert batch(wire, ["exit"])["nodes"] == []
+
+
+@pytest.mark.parametrize(
+    ("line", "says"),
+    [
+        ("{", "not JSON"),
+        ('{"turn": 1, "nodes": []}', "clock"),
+        (
+            '{"clock": 1, "turn": 1, "nodes": [{"who": 3, "inbox": [["fired", "wake", []]]}]}',
+            "no such instance",
+        ),
+        ('{"clock": 1, "turn": 1, "nodes": [{"who": 3, "inbox": ["exit"]}]}', "array"),
+    ],
+)
+def test_bad_lines_are_named(wire, line, says):
+    with pytest.raises(BadInputError, match=says):
+        wire.answer(line)
+
+
+def test_unknown_events_and_missing_values_are_named(wire):
+    batch(wire, START)
+    for event, says in ((["novelty"], "novelty"), (["notice"], "notice"), (READ[:2], "inbound")):
+        with pytest.raises(BadInputError, match=says):
+            batch(wire, event)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from lichencleat.decide import Node
-from lichencleat.terms import Act, Below, Effect, Inquiry, Machine, Outcome, State, Tariff
+from lichencleat.decide import GAIN, Node
+from lichencleat.terms import Act, Below, Effect, Gauges, Inquiry, Machine, Outcome, State, Tariff
 
 SECOND = 1_000_000
 
@@ -141,3 +141,94 @@
     assert not list(node.strike_unrun())
     node.receipts[Inquiry(receipted, arrived=0, due=SECOND, state=State.ENDED)] = 9 * SECOND
     assert next(node.strike_unrun()).act is Act.STRIKE
+
+
+def test_the_cap_moves_by_the_gain_times_the_error_within_its_bounds(node, tariff):
+    node.cap = 5.0
+    node.held.update((Inquiry(tariff, arrived=0, due=9 * SECOND), None) for _ in range(6))
+    node.sample(0)
+    assert node.cap == pytest.approx(5.0 + GAIN * (2 - 6))
+    node.cap = -50.0  # wound down by long pressure
+    node.sample(SECOND)
+    assert node.cap == node.limit
+    node.cap = 500.0  # wound up while idle
+    node.sample(2 * SECOND)
+    assert node.cap == 6 + node.limit
+
+
+def test_the_running_limit_climbs_while_cores_idle_and_steps_back_when_crowded(node, tariff):
+    node.held[Inquiry(tariff, arrived=0, due=9 * SECOND)] = None
+    node.running.update((Inquiry(tariff, arrived=0, due=9 * SECOND), None) for _ in range(2))
+    node.gauges = Gauges(wanting_core=1.0)
+    node.sample(0)
+    assert node.limit > 2
+    node.gauges = Gauges(wanting_core=9.0)
+    for at in range(1, 9):
+        node.sample(at * SECOND)
+    assert node.limit < 2
+
+
+def test_an_arrival_at_the_cap_is_deferred_at_once_unless_it_earns_more_than_one_held(node, tariff):
+    plain = [Inquiry(tariff, arrived=0, due=9 * SECOND) for _ in range(5)]
+    node.running.update(dict.fromkeys(plain[:2]))
+    node.held.update(dict.fromkeys(plain[2:4]))
+    node.cap = 4.0
+    node.new[plain[4]] = None
+    assert next(node.judge_new(0)).inquiry is plain[4]
+    better = Inquiry(
+        Tariff("better", soft_limit=SECOND, hard_limit=SECOND, payoff=2.0), arrived=0, due=SECOND
+    )
+    node.new[better] = None
+    decisions = list(node.judge_new(0))
+    assert [each.act for each in decisions] == [Act.DEFER] and decisions[0].inquiry in plain[2:4]
+    assert better in node.held
+
+
+def test_nothing_begins_without_memory_for_it(node, tariff):
+    node.memory_kb = 1000.0
+    node.held[Inquiry(tariff, arrived=0, due=9 * SECOND, size_kb=200.0)] = None
+    assert not list(node.start_held(0))
+    node.memory_kb = 2000.0
+    assert next(node.start_held(0)).act is Act.START
+
+
+def test_a_cold_node_takes_a_smaller_crowd():
+    told = Machine(cores=2, crowd=8.0, cold=True, cold_share=0.25, warm_after=10 * SECOND)
+    cold, warm = Node(told, random.Random(1)), Node(Machine(cores=2, crowd=8.0), random.Random(1))
+    cold.started_at = 0
+    assert cold.crowd_bound(0) < cold.crowd_bound(5 * SECOND) < cold.crowd_bound(10 * SECOND)
+    assert cold.crowd_bound(10 * SECOND) == warm.crowd_bound(0) < 2 * 8
+
+
+def test_a_leaving_node_runs_nothing_late_and_answers_all_before_the_stop(node, tariff):
+    node.grace = SECOND
+    early = Inquiry(tariff, arrived=SECOND, due=9 * SECOND)
+    late = Inquiry(tariff, arrived=SECOND + 1, due=9 * SECOND)
+    running = Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)
+    node.running[running] = None
+    node.must_leave(0, 4 * SECOND)
+    node.new.update({early: None, late: None})
+    deferred = list(node.judge_new(SECOND + 1))
+    assert [each.inquiry for each in deferred] == [late] and early in node.held
+    answered = [each.inquiry for each in node.answer_due(4 * SECOND - 200_000)]
+    assert answered == [running, early]
+
+
+def test_calls_stay_under_a_share_of_less_than_one(tariff):
+    machine = Machine(below=Below.SHARED, calls_share=0.5, calls_span=SECOND)
+    node = Node(machine, random.Random(1))
+    node.asking[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    node.calls_seen.extend([1] * 4)
+    assert not list(node.let_out_calls(0))
+    node.calls_seen.extend([0] * 10)
+    assert next(node.let_out_calls(0)).act is Act.CALL
+
+
+def test_work_that_would_end_too_late_is_not_begun(node, tariff):
+    tariff_runs = node.run_times.setdefault(tariff, [SECOND] * 4)
+    node.running.update((Inquiry(tariff, arrived=0, due=9 * SECOND, started=0), None) for _ in range(2))
+    waiting = Inquiry(tariff, arrived=0, due=9 * SECOND)
+    assert not node.too_late(SECOND - 1, waiting)
+    assert node.too_late(SECOND + 1, waiting)
+    node.running.popitem()
+    assert not node.too_late(SECOND + 1, waiting) and tariff_runs
