--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -70,6 +70,7 @@
 TOLD_UP = 0.08  # free value, per period with deferrals: callers hear it about once a second
 TOLD_DOWN = 0.02  # per period without: gentler, so that the load does not come back in one wave
 TOLD_MOST = 0.85  # leaves the best-paid callers a way in
+TOLD_IDLE = 0.75  # of the cores: with that little to do, callers keep back what could be honoured
 TOLD_STEP = 0.02  # a smaller change is not worth saying
 WINDOW_WIDE = 3  # times what a node can have in hand: callers differ much in what they send
 WINDOW_LEAST = 0.2  # outstanding for each caller: below it a node would hear from nobody
@@ -385,7 +386,8 @@
         elif self.full_since is None:
             self.full_since = now
         pressed = self.deferred_lately or self.read_time(now) > READ_LATE
-        step = TOLD_UP if pressed else -TOLD_DOWN
+        idle = self.healthy and not waits and (self.gauges.busy or 0.0) < TOLD_IDLE
+        step = -TOLD_UP if idle else TOLD_UP if pressed else -TOLD_DOWN
         self.ease = min(TOLD_MOST, max(0.0, self.ease + step))
         self.deferred_lately = 0
         self.calls_seen.append(len(self.calling))
