--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -181,7 +181,7 @@
             if now - took >= self.calls_cut_at:
                 self.calls_most = max(1.0, self.calls_most * CALLS_CUT)
                 self.calls_cut_at = now
-        elif well and len(self.calling) >= self.calls_most - 1:
+        elif well and self.calls_out(now) >= self.calls_most - 1:
             self.calls_most = max(1.0, min(self.calls_ceiling, self.calls_most + 1 / self.calls_most))
         if outcome is Outcome.COMPLETED:
             self.move(inquiry, self.running, State.RUNNING)
@@ -256,6 +256,14 @@
         failed = [well for _, well in self.call_times][-CALLS_FEW:].count(False) >= CALLS_FEW / 2
         return failed or median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
 
+    def calls_out(self, now: int) -> int:
+        """Calls that count for the bound; to a tier, one far over its time waits at a node that is lost.
+
+        Guards against silent nodes below that hold the calls which may not be tried anew.
+        """
+        since = now - self.call_patience() if self.hedges else 0
+        return sum(each.called_at >= since for each in self.calling)
+
     def calls_spent(self) -> bool:
         """Where this node's part is under one call, one at a time is too many: their mean is bounded."""
         return self.calls_ceiling < 1 and sum(self.calls_seen) >= self.calls_ceiling * (
@@ -524,9 +532,10 @@
                 else:
                     yield self.give_up(inquiry)
                 continue
-            if now < inquiry.call_after or len(self.calling) >= self.calls_most or self.calls_spent():
+            if now < inquiry.call_after or self.calls_out(now) >= self.calls_most or self.calls_spent():
                 continue
             self.move(inquiry, self.calling, State.CALLING)
+            inquiry.called_at = now
             until = min(inquiry.due, max(soft, now + PERIOD) if late else inquiry.due)
             span = max(until - now, self.guard)
             if pure and self.hedges and inquiry.calls_failed < CALL_TRIES - 1:
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -150,6 +150,7 @@
     answered: bool = False
     started: int | None = None
     succeeded: bool = False
+    called_at: int = 0
     call_after: int = 0
     calls_failed: int = 0
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -232,3 +232,12 @@
     assert node.too_late(SECOND + 1, waiting)
     node.running.popitem()
     assert not node.too_late(SECOND + 1, waiting) and tariff_runs
+
+
+def test_a_call_stuck_at_a_lost_node_leaves_the_bound_to_others(caller, tariff, receipted):
+    caller.call_times.extend([(100_000, True)] * 8)
+    caller.calls_most = 1.0
+    caller.calling[Inquiry(receipted, arrived=0, due=9 * SECOND, started=0, called_at=0)] = None
+    caller.asking[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    assert not list(caller.let_out_calls(100_000))
+    assert next(caller.let_out_calls(SECOND)).act is Act.CALL
