Wait for a call to a tier three times the median, not the slow quarter

Cause: where a quarter of the engines is lost, lost time had made the slow quarter long, and three such waits outlast the soft limit.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -54,7 +54,7 @@
 CALLS_KEPT = 64  # last call times: some ten seconds' worth, so that the quick quarter outlasts a slow spell
 CALLS_FEW = 8  # of them tell how calls go now: fewer would mistake one long call for a crowd
 CALL_TRIES = 3  # of one call: further ones have cost more than the answer is worth
-CALL_PATIENCE = 3  # times the slow quarter of recent calls: one in some fifty usual calls is that long
+CALL_PATIENCE = 3  # times the median of recent calls: one in some twenty usual calls is that long
 CALL_PATIENCE_LEAST = 300_000  # µs: three wake-ups, under which a repeat gains nothing
 FAR = 3_600_000_000  # µs: longer than any limit
 CALL_PAUSE = (
@@ -279,7 +279,7 @@
         back = sorted(took for took, well in self.call_times if well)
         if len(back) < CALLS_FEW:
             return FAR
-        return max(CALL_PATIENCE_LEAST, CALL_PATIENCE * back[len(back) * 3 // 4])
+        return max(CALL_PATIENCE_LEAST, CALL_PATIENCE * back[len(back) // 2])
 
     def stalled(self, now: int) -> bool:
         """No run ended or reached a call for long, though the cores have work: a hang, or all but one.
