--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -53,6 +53,7 @@
 CALLS_SLOW = 2.5  # last few calls, in the quick quarter of those kept: beyond chance, it is crowded below
 CALLS_KEPT = 64  # last call times: some ten seconds' worth, so that the quick quarter outlasts a slow spell
 CALLS_FEW = 8  # of them tell how calls go now: fewer would mistake one long call for a crowd
+CLOGGED = 0.25  # of the longest soft limit, for the wait at a call: half of the shortest, mostly
 CALL_TRIES = 3  # of one call: further ones have cost more than the answer is worth
 CALL_PATIENCE = 3  # times the median of recent calls: one in some twenty usual calls is that long
 CALL_PATIENCE_LEAST = 300_000  # µs: three wake-ups, under which a repeat gains nothing
@@ -466,8 +467,12 @@
         return bool(self.held) and busy and len(self.held) + len(self.running) >= self.cap
 
     def clogged(self) -> bool:
-        """More wait to be let out than are out: what is begun now would only wait at its call."""
-        return len(self.asking) >= self.calls_most
+        """What is begun now would wait long at its call: many are before it, or they get out slowly."""
+        if not self.asking:
+            return False
+        times = [took for took, _ in self.call_times][-CALLS_FEW:]
+        wait = (len(self.asking) + len(self.running)) * (median(times) if times else 0) / self.calls_most
+        return len(self.asking) >= self.calls_most or wait > self.longest_soft_limit * CLOGGED
 
     def record(self, now: int, inquiry: Inquiry) -> Decision:
         """The entry is there before the run, and covers the window counted from the arrival."""
