--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -467,12 +467,15 @@
         return bool(self.held) and busy and len(self.held) + len(self.running) >= self.cap
 
     def clogged(self) -> bool:
-        """What is begun now would wait long at its call: many are before it, or they get out slowly."""
-        if not self.asking:
-            return False
+        """What is begun now would wait long at its call."""
+        ahead = len(self.asking) + len(self.running)
+        return bool(self.asking) and (len(self.asking) >= self.calls_most or self.waits_long(ahead))
+
+    def waits_long(self, ahead: int) -> bool:
+        """With so many before it, and calls as slow as the last few."""
         times = [took for took, _ in self.call_times][-CALLS_FEW:]
-        wait = (len(self.asking) + len(self.running)) * (median(times) if times else 0) / self.calls_most
-        return len(self.asking) >= self.calls_most or wait > self.longest_soft_limit * CLOGGED
+        wait = ahead * (median(times) if times else 0) / self.calls_most
+        return wait > self.longest_soft_limit * CLOGGED
 
     def record(self, now: int, inquiry: Inquiry) -> Decision:
         """The entry is there before the run, and covers the window counted from the arrival."""
@@ -522,16 +525,22 @@
                 yield Decision(Act.STRIKE, inquiry)
 
     def let_out_calls(self, now: int) -> Iterator[Decision]:
-        """Calls go out by payoff, under the bound."""
-        for inquiry in sorted(self.asking, key=self.payoff, reverse=True):
+        """Calls go out by what they add to the payoff, under the bound; some are omitted where they clog."""
+
+        def adds(each: Inquiry) -> float:
+            return self.payoff(each) * (1 - each.tariff.payoff_without_call)
+
+        for place, inquiry in enumerate(sorted(self.asking, key=adds, reverse=True)):
             if inquiry.answered:
                 self.move(inquiry, self.calling, State.CALLING)  # the host ends it
                 continue
             pure = inquiry.tariff.effect is Effect.PURE
             soft = self.soft_end(inquiry)
             late = pure and not inquiry.tariff.late_payoff
-            if inquiry.calls_failed >= CALL_TRIES or (late and now >= soft):
-                if inquiry.tariff.payoff_without_call and now < soft:
+            spent = inquiry.calls_failed >= CALL_TRIES or (late and now >= soft)
+            without = inquiry.tariff.payoff_without_call > 0
+            if spent or (without and self.waits_long(place)):
+                if without and now < soft:
                     self.move(inquiry, self.running, State.RUNNING)
                     yield Decision(Act.OMIT_CALL, inquiry)
                 else:
@@ -555,8 +564,9 @@
             begun = len(self.running) + len(self.asking) + len(self.calling)
             if len(self.running) >= int(self.limit) or begun >= self.crowd_bound(now):
                 return
+            stuck = inquiry.tariff.calls and not inquiry.tariff.payoff_without_call and self.clogged()
             bare = inquiry.tariff.effect is Effect.RECEIPTED and inquiry not in self.receipts
-            if inquiry.repeats is not None or bare or (inquiry.tariff.calls and self.clogged()):
+            if inquiry.repeats is not None or bare or stuck:
                 continue
             if self.used_kb() + inquiry.size_kb * (self.run_factor - 1) > self.memory_kb:
                 continue
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -241,3 +241,13 @@
     caller.asking[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
     assert not list(caller.let_out_calls(100_000))
     assert next(caller.let_out_calls(SECOND)).act is Act.CALL
+
+
+def test_calls_that_would_wait_long_are_omitted_where_the_answer_still_earns(tariff):
+    poorer = Tariff("poorer", soft_limit=2 * SECOND, hard_limit=5 * SECOND, payoff_without_call=0.5)
+    node = Node(Machine(below=Below.SHARED, calls_share=2.0, tariffs=[tariff]), random.Random(1))
+    node.call_times.extend([(SECOND, True)] * 8)
+    pure, first, second = (Inquiry(each, arrived=0, due=5 * SECOND) for each in (tariff, poorer, poorer))
+    node.asking.update(dict.fromkeys((second, first, pure)))
+    decided = [(each.act, each.inquiry) for each in node.let_out_calls(0)]
+    assert decided == [(Act.CALL, pure), (Act.OMIT_CALL, second), (Act.OMIT_CALL, first)]
