--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -175,7 +175,7 @@
     def call_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
         if inquiry not in self.calling:
             return
-        well = outcome is Outcome.COMPLETED
+        well, pure = outcome is Outcome.COMPLETED, inquiry.tariff.effect is Effect.PURE
         if not (self.hedges and outcome is Outcome.OVERDUE):  # that tells our patience, not how calls go
             self.call_times.append((took, well))
         if self.calls_slow():
@@ -184,12 +184,12 @@
                 self.calls_cut_at = now
         elif well and self.calls_out(now) >= self.calls_most - 1:
             self.calls_most = max(1.0, min(self.calls_ceiling, self.calls_most + 1 / self.calls_most))
-        if outcome is Outcome.COMPLETED:
+        if well:
             self.move(inquiry, self.running, State.RUNNING)
             return
         self.move(inquiry, self.asking, State.ASKING)
         never_ran = outcome in (Outcome.TURNED_AWAY, Outcome.UNREACHED)
-        inquiry.calls_failed += 1 if never_ran or inquiry.tariff.effect is Effect.PURE else CALL_TRIES
+        inquiry.calls_failed += 1 if never_ran or pure else CALL_TRIES
         inquiry.call_after = now + CALL_PAUSE * inquiry.calls_failed
 
     def caller_left(self, now: int, inquiry: Inquiry) -> None:
@@ -213,13 +213,11 @@
 
     # --- figures worked out when needed ---
 
-    def share_of_speed(self, now: int) -> float:
-        """At least this much of full speed, after a cold start."""
-        age = 0 if self.started_at is None else now - self.started_at
-        return min(1.0, self.cold_from + (1 - self.cold_from) * age / max(1, self.warm_after))
-
     def crowd_bound(self, now: int) -> float:
-        return self.cores * (1 + (self.crowd - 1) * self.share_of_speed(now)) * CROWD_PART
+        """A part of the crowd that the node survives at the least speed it may have since a cold start."""
+        age = 0 if self.started_at is None else now - self.started_at
+        speed = min(1.0, self.cold_from + (1 - self.cold_from) * age / max(1, self.warm_after))
+        return self.cores * (1 + (self.crowd - 1) * speed) * CROWD_PART
 
     def used_kb(self) -> float:
         ran: Iterable[Inquiry] = (*self.running, *self.asking, *self.calling)
@@ -323,9 +321,8 @@
 
     def soft_end(self, inquiry: Inquiry) -> int:
         tariff = inquiry.tariff
-        return inquiry.arrived + min(
-            tariff.hard_limit, tariff.soft_limit + int(tariff.stretch * inquiry.cost)
-        )
+        soft_limit = tariff.soft_limit + int(tariff.stretch * inquiry.cost)
+        return inquiry.arrived + min(tariff.hard_limit, soft_limit)
 
     def worthless(self, now: int, inquiry: Inquiry) -> bool:
         """A pure inquiry whose soft limit is past and that earns nothing after it."""
