--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -38,9 +38,8 @@
 )
 
 PERIOD = 100_000  # µs: a tenth of the shortest wait that matters, and ten wake-ups a second cost little
-GAIN = (
-    0.2  # cap per held inquiry and period: low, as the paper prefers; the cap crosses its range in a second
-)
+GAIN = 0.2  # cap per held inquiry and period: low, as the paper prefers; its range takes about a second
+HOLD_WAIT = 0.2  # of the shortest soft limit, for the wait in the hold: the run and its calls need the rest
 CLIMB = 2  # running limit per period: doubles a six-core limit in a third of a second
 CROWDED = 1.34  # wanting a core, per core: beyond a third more than cores, more runs only slow each other
 LIMIT_LEAST = 1 / 3  # of the cores: reading and connections may take the rest
@@ -103,6 +102,7 @@
         self.calls_seen: deque[int] = deque(maxlen=max(1, machine.calls_span // PERIOD))
         self.fresh = machine.fresh
         self.hedges = machine.below is Below.TIER
+        self.shortest_soft_limit = min((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
         self.longest_soft_limit = max((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
         self.grace, self.resolution = machine.grace, machine.resolution
         self.guard = PERIOD + 2 * machine.resolution  # an answer due sooner than this goes out now
@@ -385,6 +385,8 @@
         elif waits and len(self.running) >= int(self.limit) and wanting <= self.cores:
             self.limit = min(self.crowd_bound(now), self.limit + CLIMB)
         self.limit = max(1.0, min(self.limit, self.crowd_bound(now)))
+        fits = self.limit * self.shortest_soft_limit * HOLD_WAIT / max(1.0, self.run_time(now))
+        self.reference = max(1.0, min(float(self.cores), fits))
         self.cap += GAIN * (self.reference - waits)
         self.cap = max(self.limit, min(self.cap, len(self.held) + len(self.running) + self.limit))
         if not waits or len(self.held) + len(self.running) < self.cap - 1:
