--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -144,10 +144,10 @@
 
 
 def test_the_cap_moves_by_the_gain_times_the_error_within_its_bounds(node, tariff):
-    node.cap, node.reference = 5.0, 2.0
+    node.cap, node.reference = 7.0, 2.0
     node.held.update((Inquiry(tariff, arrived=0, due=9 * SECOND), None) for _ in range(6))
     node.sample(0)
-    assert node.cap == pytest.approx(5.0 + GAIN * (2 - 6))
+    assert node.cap == pytest.approx(7.0 + GAIN * (2 - 6))
     node.cap = -50.0  # wound down by long pressure
     node.sample(SECOND)
     assert node.cap == node.limit
