Pace calls where a node's part is under one, close strangers' idle connections

Now, under a bound of one, each call pays back its time before the next and none is in hand longer than the mean allows. Also covers any dependency that does not grow with the fleet. Harm: a receipted call abandoned for it may not be repeated.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -18,13 +18,12 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from statistics import median
 
 from lichencleat.terms import (
     Act,
     Below,
-    Customer,
     Decision,
     Effect,
     Gauges,
@@ -48,8 +47,10 @@
 MEMORY_PART = 0.85  # of the memory: leaves room for what is being read while decisions are made
 ENTRY_PART = 0.5  # of the memory part: entries of pure inquiries only save work, so runs come first
 CALLS_PART = 0.7  # of this node's part of what the dependency survives: cold nodes call more, calls linger
+CALLS_LEAST = 0.25  # of the calls part, where that is under one: keeps a slowed dependency at work
+CALLS_AHEAD = 300_000  # µs by which they may be ahead of that part: usual calls are not held up by it
 CALLS_CUT = 0.8  # of the bound, once for each round of calls that comes back slow or failed
-CALLS_SLOW = 2.5  # last few calls, in the quick quarter of those kept: beyond chance, it is crowded below
+CALLS_SLOW = 5  # last few calls, in the quick quarter of those kept: beyond chance, it is crowded below
 CALLS_KEPT = 64  # last call times: some ten seconds' worth, so that the quick quarter outlasts a slow spell
 CALLS_FEW = 8  # of them tell how calls go now: fewer would mistake one long call for a crowd
 CLOGGED = 0.25  # of the longest soft limit, for the wait at a call: half of the shortest, mostly
@@ -57,11 +58,8 @@
 CALL_PATIENCE = 3  # times the median of recent calls: one in some twenty usual calls is that long
 CALL_PATIENCE_LEAST = 300_000  # µs: three wake-ups, under which a repeat gains nothing
 FAR = 3_600_000_000  # µs: longer than any limit
-CALL_PAUSE = (
-    50_000  # µs before a call that never ran is tried again: lets the layer below take in its answers
-)
+CALL_PAUSE = 50_000  # µs before a call that never ran is tried again: lets the layer below take in answers
 RUNS_KEPT = 16  # last run times of each tariff: a few seconds' worth on a busy node
-CAME_KEPT = 24  # last arrivals of each customer: its rate over some seconds, to a fifth
 RUNS_FEW = 4  # of one tariff: with fewer, all tariffs' runs tell more
 STALL_LEAST = 700_000  # µs without any progress on full cores: far over the gap between two ends of runs
 SICK_RUNS = 0.5  # of the running limit: with fewer runs, chance alone may keep them all late
@@ -79,6 +77,9 @@
 READS_KEPT = 16  # last such times: about a second's arrivals
 READS_SPAN = 3_000_000  # µs that they count: a node that clears its unread lot must not go on looking drowned
 ADVICE = 300_000  # µs to stay away when full: a few run times, the hold will have turned over
+CALLERS_KEPT = 64  # last arrivals: some ten seconds' worth on two cores
+CALLERS_BACK = 0.7  # of them from a caller seen among them: with fewer, connections stand idle for strangers
+IDLE_SOON = 500_000  # µs after which an idle connection to a stranger is closed: a second try comes sooner
 LEAVE_MARGIN = 300_000  # µs before the stop by which all is answered: three wake-ups
 
 
@@ -97,9 +98,10 @@
         self.advice_most = machine.advice_most
         shared = machine.below is Below.SHARED and machine.calls_share > 0
         self.calls_ceiling = machine.calls_share * CALLS_PART if shared else float("inf")
-        self.calls_most = max(1.0, min(self.calls_ceiling, float(machine.cores)))
-        self.calls_cut_at = 0
-        self.calls_seen: deque[int] = deque(maxlen=max(1, machine.calls_span // PERIOD))
+        self.calls_most = min(self.calls_ceiling, float(machine.cores))
+        self.calls_least = min(1.0, self.calls_ceiling * CALLS_LEAST)
+        self.calls_cut_at = self.call_next_at = 0
+        self.calls_longest = self.calls_ceiling * machine.calls_span if self.calls_ceiling < 1 else FAR
         self.fresh = machine.fresh
         self.hedges = machine.below is Below.TIER
         self.shortest_soft_limit = min((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
@@ -125,12 +127,9 @@
         # what is known
         self.gauges = Gauges()
         self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
-        self.came: dict[Customer, deque[int]] = {}
-        self.nodes, self.beyond_share = machine.nodes, machine.beyond_share
         self.costs: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.call_times: deque[tuple[int, bool]] = deque(maxlen=CALLS_KEPT)  # and whether it came back
-        # when each was read, how long after its arrival
-        self.read_times: deque[tuple[int, int]] = deque(maxlen=READS_KEPT)
+        self.read_times: deque[tuple[int, int]] = deque(maxlen=READS_KEPT)  # when, and how long after arrival
         self.progress_at = self.on_time_at = 0
         self.full_since: int | None = None
         self.deferred_lately = 0
@@ -141,16 +140,17 @@
         self.ease = 0.0  # share of their load that callers are asked to keep back
         self.said = -1.0
         self.wake_at = 0
+        self.callers_seen: deque[int] = deque(maxlen=CALLERS_KEPT)
+        self.connections_idle = self.said_idle = machine.connections_idle
 
     # --- inputs: they only update what is known ---
 
     def arrives(self, now: int, inquiry: Inquiry) -> None:
         self.new[inquiry] = None
-        if inquiry.customer and not inquiry.further_try:
-            self.came.setdefault(inquiry.customer, deque(maxlen=CAME_KEPT)).append(inquiry.arrived)
         if inquiry.cost:
             self.costs.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(inquiry.cost)
         self.read_times.append((now, now - inquiry.arrived))
+        self.callers_seen.append(inquiry.caller)
 
     def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.COMPLETED and inquiry in self.running:
@@ -178,12 +178,18 @@
         well, pure = outcome is Outcome.COMPLETED, inquiry.tariff.effect is Effect.PURE
         if not (self.hedges and outcome is Outcome.OVERDUE):  # that tells our patience, not how calls go
             self.call_times.append((took, well))
+        # Guards the dependency against nodes that have no more than one call there each, but all at once:
+        # where the bound is under one, each pays back its time before the next, and none is in hand for
+        # longer than the mean allows. Harm: a receipted call so abandoned may not be repeated.
+        if self.calls_most < 1:
+            self.call_next_at = max(self.call_next_at, now) + int(took / self.calls_most)
         if self.calls_slow():
             if now - took >= self.calls_cut_at:
-                self.calls_most = max(1.0, self.calls_most * CALLS_CUT)
+                self.calls_most = max(self.calls_least, self.calls_most * CALLS_CUT)
                 self.calls_cut_at = now
         elif well and self.calls_out(now) >= self.calls_most - 1:
-            self.calls_most = max(1.0, min(self.calls_ceiling, self.calls_most + 1 / self.calls_most))
+            step = min(1 / self.calls_most, self.calls_most)
+            self.calls_most = min(self.calls_ceiling, self.calls_most + step)
         if well:
             self.move(inquiry, self.running, State.RUNNING)
             return
@@ -220,13 +226,9 @@
         return self.cores * (1 + (self.crowd - 1) * speed) * CROWD_PART
 
     def used_kb(self) -> float:
-        ran: Iterable[Inquiry] = (*self.running, *self.asking, *self.calling)
-        waiting: Iterable[Inquiry] = (*self.new, *self.held, *self.sharing)
-        return (
-            sum(each.size_kb for each in ran) * self.run_factor
-            + sum(each.size_kb for each in waiting)
-            + len(self.receipts) * self.receipt_kb
-        )
+        ran = sum(each.size_kb for each in (*self.running, *self.asking, *self.calling))
+        waiting = sum(each.size_kb for each in (*self.new, *self.held, *self.sharing))
+        return ran * self.run_factor + waiting + len(self.receipts) * self.receipt_kb
 
     def usual_run(self, tariff: Tariff | None = None) -> float:
         """The usual time of a run, of this tariff if enough of it is known."""
@@ -238,9 +240,8 @@
 
     def run_time(self, now: int, tariff: Tariff | None = None) -> float:
         """The usual time of a run; what is under way tells sooner than what has ended."""
-        under_way = [
-            now - each.started for each in (*self.running, *self.asking, *self.calling) if each.started
-        ]
+        begun = (*self.running, *self.asking, *self.calling)
+        under_way = [now - each.started for each in begun if each.started]
         return max(self.usual_run(tariff), median(under_way) if len(under_way) >= self.cores else 0.0)
 
     def read_time(self, now: int) -> float:
@@ -263,12 +264,6 @@
         since = now - self.call_patience() if self.hedges else 0
         return sum(each.called_at >= since for each in self.calling)
 
-    def calls_spent(self) -> bool:
-        """Where this node's part is under one call, one at a time is too many: their mean is bounded."""
-        return self.calls_ceiling < 1 and sum(self.calls_seen) >= self.calls_ceiling * (
-            self.calls_seen.maxlen or 1
-        )
-
     def call_patience(self) -> int:
         """After this a pure call to one of many nodes does better with another of them.
 
@@ -332,18 +327,10 @@
 
     def payoff(self, inquiry: Inquiry) -> float:
         """For the core time that it takes."""
-        payoff = inquiry.tariff.payoff * self.within_share(inquiry.customer)
+        payoff = inquiry.tariff.payoff
         own = self.usual_run(inquiry.tariff)
         return payoff if self.paid_by_work or not own else payoff * self.usual_run() / own
 
-    def within_share(self, customer: Customer | None) -> float:
-        """What an inquiry of this customer earns on the mean, the part beyond its share counted as told."""
-        came = self.came.get(customer, ()) if customer else ()
-        if len(came) < CAME_KEPT:
-            return 1.0
-        share = customer.per_second / self.nodes * (came[-1] - came[0]) / 1e6 / len(came)
-        return 1.0 if share >= 1 else share + (1 - share) * self.beyond_share
-
     def has_run(self, inquiry: Inquiry) -> bool:
         return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
 
@@ -395,13 +382,10 @@
             self.full_since = now
         pressed = self.deferred_lately or self.read_time(now) > READ_LATE
         idle = self.healthy and not waits and (self.gauges.busy or 0.0) < TOLD_IDLE
-        step = -TOLD_UP if idle else TOLD_UP if pressed else -TOLD_DOWN
-        self.ease = min(TOLD_MOST, max(0.0, self.ease + step))
+        self.ease += -TOLD_UP if idle else TOLD_UP if pressed else -TOLD_DOWN
+        self.ease = min(TOLD_MOST, max(0.0, self.ease))
         self.deferred_lately = 0
-        self.calls_seen.append(len(self.calling))
-        drowned = (
-            self.read_time(now) > self.longest_soft_limit * DROWNED
-        )  # refuses too late for anyone to heed it
+        drowned = self.read_time(now) > self.longest_soft_limit * DROWNED  # its answers come too late
         self.healthy = self.leaves_at is None and not drowned and not self.sick(now)
         self.to_stop.update((each, None) for each in self.running if each.answered)  # a hang ignores it
         for inquiry in [each for each, until in self.receipts.items() if until <= now]:
@@ -429,9 +413,9 @@
         """
         unwanted, self.to_stop = self.to_stop, {}
         shared = {each.repeats for each in self.sharing}
-        for inquiry in unwanted:
+        for inquiry in unwanted if self.can_stop else ():
             kept = inquiry.tariff.effect is Effect.RECEIPTED and now < self.soft_end(inquiry)
-            if self.can_stop and inquiry in self.running and not kept and inquiry not in shared:
+            if inquiry in self.running and not kept and inquiry not in shared:
                 yield Decision(Act.STOP, inquiry)
 
     def judge_new(self, now: int) -> Iterator[Decision]:
@@ -472,9 +456,11 @@
 
     def waits_long(self, ahead: int) -> bool:
         """With so many before it, and calls as slow as the last few."""
+        return ahead * self.usual_call() / self.calls_most > self.longest_soft_limit * CLOGGED
+
+    def usual_call(self) -> float:
         times = [took for took, _ in self.call_times][-CALLS_FEW:]
-        wait = ahead * (median(times) if times else 0) / self.calls_most
-        return wait > self.longest_soft_limit * CLOGGED
+        return median(times) if times else 0.0
 
     def record(self, now: int, inquiry: Inquiry) -> Decision:
         """The entry is there before the run, and covers the window counted from the arrival."""
@@ -533,8 +519,7 @@
             if inquiry.answered:
                 self.move(inquiry, self.calling, State.CALLING)  # the host ends it
                 continue
-            pure = inquiry.tariff.effect is Effect.PURE
-            soft = self.soft_end(inquiry)
+            pure, soft = inquiry.tariff.effect is Effect.PURE, self.soft_end(inquiry)
             late = pure and not inquiry.tariff.late_payoff
             spent = inquiry.calls_failed >= CALL_TRIES or (late and now >= soft)
             without = inquiry.tariff.payoff_without_call > 0
@@ -545,12 +530,15 @@
                 else:
                     yield self.give_up(inquiry)
                 continue
-            if now < inquiry.call_after or self.calls_out(now) >= self.calls_most or self.calls_spent():
+            if (
+                now < max(inquiry.call_after, self.call_next_at - CALLS_AHEAD)
+                or self.calls_out(now) >= self.calls_most
+            ):
                 continue
             self.move(inquiry, self.calling, State.CALLING)
             inquiry.called_at = now
             until = min(inquiry.due, max(soft, now + PERIOD) if late else inquiry.due)
-            span = max(until - now, self.guard)
+            span = min(max(until - now, self.guard), int(self.calls_longest))
             if pure and self.hedges and inquiry.calls_failed < CALL_TRIES - 1:
                 span = min(span, self.call_patience())
             yield Decision(Act.CALL, inquiry, span=span)
@@ -583,10 +571,23 @@
         if amount is not None and abs(amount - self.said) > TOLD_STEP * max(1.0, abs(self.said)):
             self.said = amount
             yield Decision(Act.TELL, amount=amount)
+        idle = self.idle_after()
+        if idle != self.said_idle:
+            self.said_idle = idle
+            yield Decision(Act.CLOSE_IDLE, span=idle)
         if not self.wake_at:
             self.wake_at = now + PERIOD
             yield Decision(Act.WAKE, span=PERIOD)
 
+    def idle_after(self) -> int:
+        """Connections are kept for callers that come back; of many strangers each would take room in vain.
+
+        Guards against a table full of idle connections, which also slows the node. Harm: handshakes.
+        """
+        back = 1 - len(set(self.callers_seen)) / CALLERS_KEPT
+        few = len(self.callers_seen) < CALLERS_KEPT
+        return self.connections_idle if few or back >= CALLERS_BACK else min(IDLE_SOON, self.connections_idle)
+
     def free_value(self) -> float | None:
         if self.told is Told.LEVEL:
             return round(self.ease, 2)
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -77,6 +77,7 @@
     SHARE = auto()
     HEALTH = auto()
     TELL = auto()
+    CLOSE_IDLE = auto()
     WAKE = auto()
     NOTE = auto()
 
@@ -95,12 +96,6 @@
     payoff_without_call: float = 0.0  # share of the payoff kept where a call was omitted
 
 
-@dataclass(eq=False, slots=True)
-class Customer:
-    name: str
-    per_second: float = 0.0  # inquiries within its share, over the whole fleet
-
-
 @dataclass(slots=True)
 class Machine:
     """What a node is told when it starts."""
@@ -120,15 +115,13 @@
     below: Below = Below.NOTHING
     calls_share: float = 0.0  # this node's part of the calls that the dependency survives
     calls_span: int = 0
+    connections_idle: int = 0  # after which callers close them, 0 where not told
     fresh: int = 0  # how long the answer of a pure inquiry may serve its repeats, 0 for never
     full_checks: bool = False  # health checks do real work unless answered from store
     grace: int = 0  # after the notice to leave, what arrives later is not run
     resolution: int = 0
-    nodes: int = 1
-    beyond_share: float = 1.0  # payoff of what a customer sends beyond its share
     paid_by_work: bool = False  # the payoff is for each unit of work, not for each inquiry
     tariffs: list[Tariff] = field(default_factory=list)
-    customers: list[Customer] = field(default_factory=list)
 
 
 @dataclass(eq=False, slots=True, weakref_slot=True)
@@ -138,7 +131,6 @@
     due: int  # by now it must have its answer
     place: float = 0.0
     caller: int = 0
-    customer: Customer | None = None
     repeats: Inquiry | None = None
     repeats_unknown: bool = False  # it repeats one that the host no longer has
     successor: Inquiry | None = None  # the repeat that took its place, as it never ran
@@ -169,7 +161,7 @@
 class Decision:
     act: Act
     inquiry: Inquiry | None = None
-    span: int = 0  # of an advice, a call, a record or a wake-up; 0 for none
+    span: int = 0  # of an advice, a call, a record, idleness or a wake-up; 0 for none
     amount: float = 0.0  # the free value
     flag: bool = False  # DEFER: no try elsewhere; HEALTH: good
     text: str = ""
