--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -55,7 +55,9 @@
 CALLS_FEW = 8  # of them tell how calls go now: fewer would mistake one long call for a crowd
 CLOGGED = 0.25  # of the longest soft limit, for the wait at a call: half of the shortest, mostly
 CALL_TRIES = 3  # of one call: further ones have cost more than the answer is worth
-CALL_PATIENCE = 3  # times the median of recent calls: one in some twenty usual calls is that long
+CALL_PATIENCE = (
+    6  # times the median of recent calls: few usual calls are that long, and the longest earn most
+)
 CALL_PATIENCE_LEAST = 300_000  # µs: three wake-ups, under which a repeat gains nothing
 FAR = 3_600_000_000  # µs: longer than any limit
 CALL_PAUSE = 50_000  # µs before a call that never ran is tried again: lets the layer below take in answers
@@ -303,7 +305,7 @@
         """
         if len(self.running) < self.cores and not ahead:
             return False
-        wait = self.run_time(now) * ahead / self.limit
+        wait = self.run_time(now) * ahead / max(self.limit, self.cores)
         own = self.run_time(now, inquiry.tariff) * self.bulk(inquiry)
         return now + wait + own > min(inquiry.due, self.soft_end(inquiry))
 
