--- a/lichencleat/benchlink/wire.py
+++ b/lichencleat/benchlink/wire.py
@@ -110,6 +110,7 @@
         full_checks=bool(own.get("fullChecks")),
         grace=micros(rules.get("stopSendingWithin")),
         resolution=micros(told.get("resolution")),
+        time_told=bool(own.get("passesDeadline")),
         paid_by_work=told.get("worthBy") == "work",
         tariffs=tariffs,
     )
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -80,22 +80,21 @@
 READS_SPAN = 3_000_000  # µs that they count: a node that clears its unread lot must not go on looking drowned
 ADVICE = 300_000  # µs to stay away when full: a few run times, the hold will have turned over
 CALLERS_KEPT = 64  # last arrivals: some ten seconds' worth on two cores
-CALLERS_BACK = 0.7  # of them from a caller seen among them: with fewer, connections stand idle for strangers
-IDLE_SOON = 500_000  # µs after which an idle connection to a stranger is closed: a second try comes sooner
+CALLERS_BACK = 0.5  # of them from a caller seen among them: with fewer, callers are strangers
+IDLE_SOON = 100_000  # µs after which strangers' idle connections are closed: nothing more will come on them
+SHED_FEW = 0.5  # of the last arrivals: with fewer deferred, others may have room, so callers may try them
 LEAVE_MARGIN = 300_000  # µs before the stop by which all is answered: three wake-ups
 
 
 class Node:
     def __init__(self, machine: Machine, chance: random.Random) -> None:
         self.chance = chance
-        self.cores = machine.cores
+        self.cores, self.crowd = machine.cores, machine.crowd
         self.memory_kb = machine.memory_kb * MEMORY_PART or float("inf")
         self.run_factor, self.receipt_kb = machine.run_factor, machine.receipt_kb
-        self.crowd = machine.crowd
         self.cold_from = machine.cold_share if machine.cold else 1.0
         self.warm_after = machine.warm_after if machine.cold else 0
-        self.can_stop = machine.halt is not Halt.NONE
-        self.paid_by_work = machine.paid_by_work
+        self.can_stop, self.paid_by_work = machine.halt is not Halt.NONE, machine.paid_by_work
         self.told, self.callers = machine.told, machine.callers
         self.advice_most = machine.advice_most
         shared = machine.below is Below.SHARED and machine.calls_share > 0
@@ -104,17 +103,15 @@
         self.calls_least = min(1.0, self.calls_ceiling * CALLS_LEAST)
         self.calls_cut_at = self.call_next_at = 0
         self.calls_longest = self.calls_ceiling * machine.calls_span if self.calls_ceiling < 1 else FAR
-        self.fresh = machine.fresh
-        self.hedges = machine.below is Below.TIER
+        self.fresh, self.hedges = machine.fresh, machine.below is Below.TIER
         self.shortest_soft_limit = min((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
         self.longest_soft_limit = max((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
-        self.grace, self.resolution = machine.grace, machine.resolution
+        self.grace, self.resolution, self.time_told = machine.grace, machine.resolution, machine.time_told
         self.guard = PERIOD + 2 * machine.resolution  # an answer due sooner than this goes out now
         self.started_at: int | None = None
         self.round: Iterator[Decision] | None = None  # what is left to pull
         # the design's loop
-        self.reference = float(machine.cores)
-        self.limit = float(machine.cores)
+        self.reference = self.limit = float(machine.cores)
         self.cap = 2.0 * machine.cores
         self.next_sample = 0
         # what is in hand, each in the order in which it came there
@@ -135,12 +132,12 @@
         self.progress_at = self.on_time_at = 0
         self.full_since: int | None = None
         self.deferred_lately = 0
+        self.judged: deque[bool] = deque([False] * READS_KEPT, READS_KEPT)  # was it deferred
         self.leaves_at: int | None = None
         self.no_run_after: int | None = None
         self.healthy = True
         self.said_healthy = None if machine.full_checks else True  # told once, checks are answered from store
-        self.ease = 0.0  # share of their load that callers are asked to keep back
-        self.said = -1.0
+        self.ease, self.said = 0.0, -1.0  # share of their load that callers are to keep back; what they heard
         self.wake_at = 0
         self.callers_seen: deque[int] = deque(maxlen=CALLERS_KEPT)
         self.connections_idle = self.said_idle = machine.connections_idle
@@ -180,9 +177,8 @@
         well, pure = outcome is Outcome.COMPLETED, inquiry.tariff.effect is Effect.PURE
         if not (self.hedges and outcome is Outcome.OVERDUE):  # that tells our patience, not how calls go
             self.call_times.append((took, well))
-        # Guards the dependency against nodes that have no more than one call there each, but all at once:
-        # where the bound is under one, each pays back its time before the next, and none is in hand for
-        # longer than the mean allows. Harm: a receipted call so abandoned may not be repeated.
+        # Guards the dependency against nodes with one call there each, but all at once: under a bound of one,
+        # each pays back its time before the next. Harm: a receipted call abandoned for it is not repeated.
         if self.calls_most < 1:
             self.call_next_at = max(self.call_next_at, now) + int(took / self.calls_most)
         if self.calls_slow():
@@ -237,8 +233,7 @@
         own = self.run_times.get(tariff, ()) if tariff else ()
         if len(own) >= RUNS_FEW:
             return median(own)
-        every = [took for times in self.run_times.values() for took in times]
-        return median(every) if every else 0.0
+        return median([took for times in self.run_times.values() for took in times] or [0.0])
 
     def run_time(self, now: int, tariff: Tariff | None = None) -> float:
         """The usual time of a run; what is under way tells sooner than what has ended."""
@@ -248,8 +243,7 @@
 
     def read_time(self, now: int) -> float:
         """How long arrivals wait to be read, by those of the last while."""
-        times = [took for at, took in self.read_times if now - at <= READS_SPAN]
-        return median(times) if times else 0.0
+        return median([took for at, took in self.read_times if now - at <= READS_SPAN] or [0.0])
 
     def calls_slow(self) -> bool:
         times = [took for took, _ in self.call_times]
@@ -259,18 +253,14 @@
         return failed or median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
 
     def calls_out(self, now: int) -> int:
-        """Calls that count for the bound; to a tier, one far over its time waits at a node that is lost.
-
-        Guards against silent nodes below that hold the calls which may not be tried anew.
-        """
+        """Calls that count for the bound: not those far over their time, at lost nodes of a tier."""
         since = now - self.call_patience() if self.hedges else 0
         return sum(each.called_at >= since for each in self.calling)
 
     def call_patience(self) -> int:
-        """After this a pure call to one of many nodes does better with another of them.
+        """After this a pure call to one of many nodes does better with another: some are slow or silent.
 
-        Guards against a few slow or silent nodes below. Harm where all are slow: the work is then done twice,
-        so it follows the recent calls, and the last try waits on.
+        Harm where all are slow: work is done twice, so it follows recent calls, and the last try waits on.
         """
         back = sorted(took for took, well in self.call_times if well)
         if len(back) < CALLS_FEW:
@@ -333,6 +323,13 @@
         own = self.usual_run(inquiry.tariff)
         return payoff if self.paid_by_work or not own else payoff * self.usual_run() / own
 
+    def sends_on(self) -> bool:
+        """A caller whose time left is told may try elsewhere, the less often the more is deferred here.
+
+        Guards against losses by chance while others idle. Harm: each try is read again."""
+        shed = sum(self.judged) / READS_KEPT
+        return self.time_told and self.chance.random() * SHED_FEW >= shed
+
     def has_run(self, inquiry: Inquiry) -> bool:
         return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
 
@@ -410,8 +407,8 @@
     def stop_unwanted(self, now: int) -> Iterator[Decision]:
         """Work for which nobody waits frees its core, unless a repeat waits for its outcome.
 
-        Nor is a receipted run stopped within its soft limit: its caller mostly asks again, and may then share
-        the outcome, while a stopped one can neither run again nor be deferred. Harm: one run for nobody.
+        Nor is a receipted run stopped within its soft limit: its caller mostly asks again, to share it, while
+        a stopped one can neither run again nor be deferred. Harm: one run for nobody.
         """
         unwanted, self.to_stop = self.to_stop, {}
         shared = {each.repeats for each in self.sharing}
@@ -446,6 +443,7 @@
                 if worst is inquiry:
                     continue
             self.move(inquiry, self.held, State.HELD)
+            self.judged.append(False)
 
     def full(self) -> bool:
         busy = len(self.running) >= self.cores or (self.gauges.busy or 0.0) > BUSY or self.clogged()
@@ -461,8 +459,7 @@
         return ahead * self.usual_call() / self.calls_most > self.longest_soft_limit * CLOGGED
 
     def usual_call(self) -> float:
-        times = [took for took, _ in self.call_times][-CALLS_FEW:]
-        return median(times) if times else 0.0
+        return median([took for took, _ in self.call_times][-CALLS_FEW:] or [0.0])
 
     def record(self, now: int, inquiry: Inquiry) -> Decision:
         """The entry is there before the run, and covers the window counted from the arrival."""
@@ -582,13 +579,13 @@
             yield Decision(Act.WAKE, span=PERIOD)
 
     def idle_after(self) -> int:
-        """Connections are kept for callers that come back; of many strangers each would take room in vain.
+        """Connections are kept for callers known to come back; each of a stranger takes room in vain.
 
         Guards against a table full of idle connections, which also slows the node. Harm: handshakes.
         """
-        back = 1 - len(set(self.callers_seen)) / CALLERS_KEPT
-        few = len(self.callers_seen) < CALLERS_KEPT
-        return self.connections_idle if few or back >= CALLERS_BACK else min(IDLE_SOON, self.connections_idle)
+        back = len(self.callers_seen) - len(set(self.callers_seen))
+        known = back >= CALLERS_BACK * CALLERS_KEPT
+        return self.connections_idle if known else min(IDLE_SOON, self.connections_idle)
 
     def free_value(self) -> float | None:
         if self.told is Told.LEVEL:
@@ -606,8 +603,9 @@
         self.give_up(inquiry)
         alone = self.stalled(now) or self.leaves_at is not None
         self.deferred_lately += 1
+        self.judged.append(True)
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
-        return Decision(Act.DEFER, inquiry, span=span, flag=not alone)
+        return Decision(Act.DEFER, inquiry, span=span, flag=not (alone or self.sends_on()))
 
     def give_up(self, inquiry: Inquiry) -> Decision:
         inquiry.answered = True
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -120,6 +120,7 @@
     full_checks: bool = False  # health checks do real work unless answered from store
     grace: int = 0  # after the notice to leave, what arrives later is not run
     resolution: int = 0
+    time_told: bool = False  # inquiries tell how long their caller waits
     paid_by_work: bool = False  # the payoff is for each unit of work, not for each inquiry
     tariffs: list[Tariff] = field(default_factory=list)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -230,12 +230,21 @@
 
 def test_idle_connections_of_strangers_are_closed_soon_and_those_of_a_few_callers_kept(node):
     node.connections_idle = 30 * SECOND
+    assert node.idle_after() < SECOND  # the host applies it to connections opened later, so from the start
     node.callers_seen.extend([1, 2, 3, 4] * 16)
     assert node.idle_after() == 30 * SECOND
     node.callers_seen.extend(range(64))
     assert node.idle_after() < SECOND
 
 
+def test_a_deferral_sends_on_only_where_time_is_told_and_little_is_deferred(node):
+    assert not node.sends_on()
+    node.time_told = True
+    assert node.sends_on()
+    node.judged.extend([True] * 16)
+    assert not node.sends_on()
+
+
 def test_work_that_would_end_too_late_is_not_begun(node, tariff):
     tariff_runs = node.run_times.setdefault(tariff, [SECOND] * 4)
     node.running.update((Inquiry(tariff, arrived=0, due=9 * SECOND, started=0), None) for _ in range(2))
