--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -39,7 +39,8 @@
 PERIOD = 100_000  # µs: a tenth of the shortest wait that matters, and ten wake-ups a second cost little
 GAIN = 0.2  # cap per held inquiry and period: low, as the paper prefers; its range takes about a second
 HOLD_WAIT = 0.2  # of the shortest soft limit, for the wait in the hold: the run and its calls need the rest
-CLIMB = 2  # running limit per period: doubles a six-core limit in a third of a second
+CLIMB = 1 / 3  # of the cores, added to the running limit per period: doubles it in a third of a second
+STEP_BACK = 1 / 6  # of the cores, off the running limit per period: gentler, the crowd comes and goes
 CROWDED = 1.34  # wanting a core, per core: beyond a third more than cores, more runs only slow each other
 LIMIT_LEAST = 1 / 3  # of the cores: reading and connections may take the rest
 BUSY = 0.9  # of the cores, as the host gauges it: nothing to gain from more runs
@@ -113,7 +114,7 @@
         # the design's loop
         self.reference = self.limit = float(machine.cores)
         self.cap = 2.0 * machine.cores
-        self.next_sample = 0
+        self.next_sample = self.wake_at = 0
         # what is in hand, each in the order in which it came there
         self.new: dict[Inquiry, None] = {}
         self.held: dict[Inquiry, None] = {}
@@ -138,7 +139,6 @@
         self.healthy = True
         self.said_healthy = None if machine.full_checks else True  # told once, checks are answered from store
         self.ease, self.said = 0.0, -1.0  # share of their load that callers are to keep back; what they heard
-        self.wake_at = 0
         self.callers_seen: deque[int] = deque(maxlen=CALLERS_KEPT)
         self.connections_idle = self.said_idle = machine.connections_idle
 
@@ -293,18 +293,22 @@
         Guards against work that earns nothing, whatever slowed the node. The idle core is how a node learns
         that it is no longer slow; it does harm if the runs of one tariff are many times those of another.
         """
-        if len(self.running) < self.cores and not ahead:
+        if len(self.running) < (1 if self.slow(now, inquiry.tariff) else self.cores) and not ahead:
             return False
         wait = self.run_time(now) * ahead / max(self.limit, self.cores)
         own = self.run_time(now, inquiry.tariff) * self.bulk(inquiry)
         return now + wait + own > min(inquiry.due, self.soft_end(inquiry))
 
+    def slow(self, now: int, tariff: Tariff) -> bool:
+        """Here it would be late even alone, and that is not for its calls: other nodes may do better."""
+        return self.run_time(now, tariff) > tariff.soft_limit and not self.calls_slow()
+
     def bulk(self, inquiry: Inquiry) -> float:
-        """How its work, as told, compares with that of its tariff; rough hints are taken by halves."""
+        """How its work, as told, compares with that of its tariff."""
         costs = self.costs.get(inquiry.tariff, ())
         if not inquiry.cost or len(costs) < RUNS_FEW:
             return 1.0
-        return (1 + inquiry.cost / max(1.0, median(costs))) / 2
+        return inquiry.cost / max(1.0, median(costs))
 
     def soft_end(self, inquiry: Inquiry) -> int:
         tariff = inquiry.tariff
@@ -313,15 +317,13 @@
 
     def worthless(self, now: int, inquiry: Inquiry) -> bool:
         """A pure inquiry whose soft limit is past and that earns nothing after it."""
-        tariff = inquiry.tariff
-        late = now >= self.soft_end(inquiry)
-        return late and tariff.effect is Effect.PURE and not tariff.late_payoff and self.can_stop
+        earns = now < self.soft_end(inquiry) or inquiry.tariff.late_payoff
+        return not earns and inquiry.tariff.effect is Effect.PURE and self.can_stop
 
     def payoff(self, inquiry: Inquiry) -> float:
         """For the core time that it takes."""
-        payoff = inquiry.tariff.payoff
-        own = self.usual_run(inquiry.tariff)
-        return payoff if self.paid_by_work or not own else payoff * self.usual_run() / own
+        own = 0 if self.paid_by_work else self.usual_run(inquiry.tariff)
+        return inquiry.tariff.payoff * (self.usual_run() / own if own else 1)
 
     def sends_on(self) -> bool:
         """A caller whose time left is told may try elsewhere, the less often the more is deferred here.
@@ -367,9 +369,9 @@
         waits = len(self.held)
         wanting = len(self.running) if self.gauges.wanting_core is None else self.gauges.wanting_core
         if wanting > self.cores * CROWDED:
-            self.limit = max(self.cores * LIMIT_LEAST, self.limit - 1)
-        elif waits and len(self.running) >= int(self.limit) and wanting <= self.cores:
-            self.limit = min(self.crowd_bound(now), self.limit + CLIMB)
+            self.limit = max(self.cores * LIMIT_LEAST, self.limit - self.cores * STEP_BACK)
+        elif waits and len(self.running) >= round(self.limit) and wanting <= self.cores:
+            self.limit = min(self.crowd_bound(now), self.limit + self.cores * CLIMB)
         self.limit = max(1.0, min(self.limit, self.crowd_bound(now)))
         fits = self.limit * self.shortest_soft_limit * HOLD_WAIT / max(1.0, self.run_time(now))
         self.reference = max(1.0, min(float(self.cores), fits))
@@ -548,7 +550,7 @@
         order = list(self.held)
         for inquiry in reversed(order) if newest_first else order:
             begun = len(self.running) + len(self.asking) + len(self.calling)
-            if len(self.running) >= int(self.limit) or begun >= self.crowd_bound(now):
+            if len(self.running) >= round(self.limit) or begun >= self.crowd_bound(now):
                 return
             stuck = inquiry.tariff.calls and not inquiry.tariff.payoff_without_call and self.clogged()
             bare = inquiry.tariff.effect is Effect.RECEIPTED and inquiry not in self.receipts
@@ -601,7 +603,7 @@
 
     def defer(self, now: int, inquiry: Inquiry) -> Decision:
         self.give_up(inquiry)
-        alone = self.stalled(now) or self.leaves_at is not None
+        alone = self.stalled(now) or self.leaves_at is not None or self.slow(now, inquiry.tariff)
         self.deferred_lately += 1
         self.judged.append(True)
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -245,6 +245,16 @@
     assert not node.sends_on()
 
 
+def test_a_node_too_slow_for_the_soft_limit_sends_on_and_tries_one_at_a_time(node, tariff):
+    inquiry = Inquiry(tariff, arrived=0, due=9 * SECOND)
+    assert node.defer(0, inquiry).flag
+    node.run_times[tariff] = [3 * SECOND] * 4
+    assert not node.defer(0, inquiry).flag
+    assert not node.too_late(0, inquiry)
+    node.running[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    assert node.too_late(0, inquiry)
+
+
 def test_work_that_would_end_too_late_is_not_begun(node, tariff):
     tariff_runs = node.run_times.setdefault(tariff, [SECOND] * 4)
     node.running.update((Inquiry(tariff, arrived=0, due=9 * SECOND, started=0), None) for _ in range(2))
