--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -9,9 +9,9 @@
   1. the due guard: every answer goes out a period before it is due, running work included;
   2. the receipt table: a receipted inquiry runs once, and its repeats share that run;
   3. room: memory, and the crowd that may come back to the cores at once, less while cold;
-  4. calls: a moving bound on those in hand, let out by payoff; one that may have run is repeated if pure;
-  5. late work: what cannot end within its soft limit is not begun, and a stalled node passes work on;
-  6. what callers are told: to stay away, and the free value.
+  4. calls: a moving bound, paced where it is under one, let out by payoff; repeated only if harmless;
+  5. late work: what cannot end within its soft limit is not begun; a slow, stalled or sick node passes it on;
+  6. what callers are told: to stay away or try elsewhere, the free value, and how long connections may idle.
 """
 
 from __future__ import annotations
