--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -290,10 +290,10 @@
     def too_late(self, now: int, inquiry: Inquiry, ahead: int = 0) -> bool:
         """With so many before it, it would not end within its soft limit; an idle core tries all the same.
 
-        Guards against work that earns nothing, whatever slowed the node. The idle core is how a node learns
-        that it is no longer slow; it does harm if the runs of one tariff are many times those of another.
+        Guards against work that earns nothing. The idle core is how a node learns that it is no longer slow.
         """
-        if len(self.running) < (1 if self.slow(now, inquiry.tariff) else self.cores) and not ahead:
+        spare = 0 if ahead else self.cores - len(self.running)
+        if spare > 0 and (not self.running or not self.slow(now, inquiry.tariff)):
             return False
         wait = self.run_time(now) * ahead / max(self.limit, self.cores)
         own = self.run_time(now, inquiry.tariff) * self.bulk(inquiry)
