--- a/lichencleat/benchlink/wire.py
+++ b/lichencleat/benchlink/wire.py
@@ -11,24 +11,9 @@
 from weakref import WeakKeyDictionary, WeakValueDictionary
 
 from lichencleat.decide import Node
-from lichencleat.terms import (
-    Act,
-    Below,
-    Decision,
-    Effect,
-    Gauges,
-    Halt,
-    Inquiry,
-    Machine,
-    Outcome,
-    Tariff,
-    Told,
-)
+from lichencleat.machine import BadInputError, choose, decode_gauges, decode_machine, micros, read_gauges
+from lichencleat.terms import Act, Decision, Inquiry, Outcome
 
-EFFECTS = {"free": Effect.PURE, "guarded": Effect.RECEIPTED, "single_shot": Effect.EFFECTFUL}
-HALTS = {"none": Halt.NONE, "abort": Halt.DROP, "suspend": Halt.PAUSE}
-TOLD = {"none": Told.NOTHING, "threshold": Told.LEVEL, "window": Told.WINDOW, "share_of": Told.CHANCE}
-BELOW = {"none": Below.NOTHING, "shared": Below.SHARED, "tier": Below.TIER}
 OUTCOMES = {
     "completed": Outcome.COMPLETED,
     "errored": Outcome.ERRED,
@@ -39,83 +24,13 @@
     "recalled": Outcome.STOPPED,
     "superseded": Outcome.VOID,
 }
-GAUGES = {
-    "cpu_busy": "busy",
-    "runnable": "wanting_core",
-    "mem_used": "memory",
-    "sockets": "connections",
-}
 HINTED, FURTHER_TRY = 1, 2  # bits of an inquiry's marks
 
 
-class BadInputError(Exception):
-    """A line that is not what the wire allows; its text says what and where."""
-
-
-def micros(seconds: float | None) -> int:
-    return round((seconds or 0) * 1_000_000)
-
-
 def seconds(span: int) -> float:
     return span / 1_000_000
 
 
-def choose(table: dict[str, Any], name: Any, default: Any, where: str) -> Any:
-    if name is None:
-        return default
-    if name not in table:
-        raise BadInputError(f"{where}: unknown value {name!r}")
-    return table[name]
-
-
-def decode_machine(told: dict) -> Machine:
-    """The machine as the settings tell it; keys that are not known here are passed over."""
-    own = told.get("specifics") or {}
-    rules = told.get("invariants") or {}
-    allowed = told.get("allowed") or {}
-    calls, without = own.get("classCalls") or [], own.get("classSkipWorth") or []
-    tariffs = [
-        Tariff(
-            name=each["name"],
-            effect=choose(EFFECTS, each.get("effect"), Effect.PURE, "classes[].effect"),
-            soft_limit=micros(each.get("aim") or each.get("deadline")),
-            hard_limit=micros(each.get("deadline")),
-            payoff=each.get("worth") or 0.0,
-            late_payoff=each.get("lateWorth") or 0.0,
-            stretch=each.get("aimStretch") or 0.0,
-            window=micros(each.get("window")),
-            calls=bool(calls[at]) if at < len(calls) else False,
-            payoff_without_call=(without[at] or 0.0) if at < len(without) else 0.0,
-        )
-        for at, each in enumerate(told.get("classes") or [])
-    ]
-    return Machine(
-        cores=int(own.get("cores") or 1),
-        memory_kb=own.get("memoryKb") or 0.0,
-        run_factor=own.get("blowup") or 1.0,
-        receipt_kb=own.get("entryKb") or 0.0,
-        crowd=rules.get("tipMultiple") or 2.0,
-        cold=bool(own.get("cold")),
-        cold_share=rules.get("coldFrom") or 1.0,
-        warm_after=micros(rules.get("cold")),
-        halt=choose(HALTS, own.get("halt"), Halt.NONE, "specifics.halt"),
-        told=choose(TOLD, own.get("advert"), Told.NOTHING, "specifics.advert"),
-        callers=int(own.get("callers") or 1),
-        advice_most=micros(allowed.get("maxRetryAfter")),
-        below=choose(BELOW, own.get("below"), Below.NOTHING, "specifics.below"),
-        calls_share=own.get("callsOut") or 0.0,
-        calls_span=micros(own.get("depWindow")),
-        connections_idle=micros(own.get("callerIdle")),
-        fresh=micros(own.get("fresh")),
-        full_checks=bool(own.get("fullChecks")),
-        grace=micros(rules.get("stopSendingWithin")),
-        resolution=micros(told.get("resolution")),
-        time_told=bool(own.get("passesDeadline")),
-        paid_by_work=told.get("worthBy") == "work",
-        tariffs=tariffs,
-    )
-
-
 class Instance:
     """One node: its decisions, and the names under which the wire knows what they speak of."""
 
@@ -124,7 +39,7 @@
         own = told.get("specifics") or {}
         self.tariffs = {each.name: each for each in machine.tariffs}
         self.passes_limit = bool(own.get("passesDeadline"))
-        self.gauges = [GAUGES.get(name) for name in own.get("gauges") or []]
+        self.gauges = decode_gauges(told)
         self.inquiries: WeakValueDictionary[str, Inquiry] = WeakValueDictionary()
         self.ids: WeakKeyDictionary[Inquiry, str] = WeakKeyDictionary()
         self.node = Node(machine, random.Random(seed))
@@ -183,8 +98,7 @@
             self.node.caller_left(now, inquiry)
 
     def fired(self, now: int, _tag: str, row: list | None = None) -> None:
-        named = zip(self.gauges, row or [], strict=False)
-        self.node.wakes(now, Gauges(**{name: value for name, value in named if name}))
+        self.node.wakes(now, read_gauges(self.gauges, row or []))
 
     def take(self, now: int, event: list) -> None:
         name, *values = event
--- /dev/null
+++ b/lichencleat/net/assembly.py
@@ -0,0 +1,92 @@
+"""One real node, put together from its parts: started, told to leave, and ended."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from lichencleat.net.catalogue import Catalogue
+from lichencleat.net.config import Told
+from lichencleat.net.deadlines import Deadlines
+from lichencleat.net.dispatchers import Dispatchers
+from lichencleat.net.host import Host
+from lichencleat.net.interpreter import Interpreter
+from lichencleat.net.membership import Membership
+from lichencleat.net.report import Report
+
+LOOK = 20_000  # µs between looks whether all is answered, while leaving
+CLOSED_BY = 150_000  # µs before the stop by which the program ends in any case
+CROSSING = 300_000  # µs after goaway for what crosses it, and for the last answers to go out
+
+
+class UnixClock:
+    """Whole microseconds of Unix time, never going back within a life."""
+
+    def __init__(self) -> None:
+        self.last = 0
+
+    def __call__(self) -> int:
+        self.last = max(self.last, time.time_ns() // 1000)
+        return self.last
+
+
+class RealNode:
+    def __init__(self, reactor: Any, clock: Any, told: Told) -> None:
+        self.reactor, self.clock, self.told = reactor, clock, told
+        self.report = Report(told.name, clock)
+        self.deadlines = Deadlines(reactor, self.report.trouble)
+        self.interpreter = Interpreter(reactor, told.interpreter, self.deadlines, self.report)
+        self.catalogue = Catalogue(reactor, told.catalogue, self.deadlines, self.report)
+        self.membership = Membership(told.name, told.members, self.deadlines, self.report)
+        self.host = Host(
+            told.machine,
+            told.gauges,
+            told.seed,
+            clock,
+            self.deadlines,
+            self.interpreter,
+            self.catalogue,
+            self.report,
+        )
+        self.dispatchers = Dispatchers(self.host, self.deadlines, self.report, told.descriptors)
+        self.ended: Deferred = Deferred()
+        self.stop_at: int | None = None
+
+    def start(self) -> None:
+        self.dispatchers.listen(self.reactor, self.told.listen)
+        self.interpreter.start().addCallback(self.host.begin)
+        self.membership.start(self.reactor)
+
+    def leave(self) -> None:
+        """The notice to leave: only the first one counts."""
+        if self.stop_at is None:
+            now = self.clock()
+            self.stop_at = now + self.told.stop_after
+            self.report.note("told to leave")
+            self.host.must_leave(self.stop_at)
+            self.membership.leave()
+            self.deadlines.after(self.told.machine.grace, self.look)
+
+    def look(self) -> None:
+        """After the grace nothing new is run: the program ends as soon as all is answered."""
+        if self.host.owed() and self.clock() < self.stop_at - CLOSED_BY - CROSSING:
+            self.deadlines.after(LOOK, self.look)
+        else:
+            self.dispatchers.stop_listening()
+            self.dispatchers.go_away()
+            self.deadlines.after(CROSSING, self.end)
+
+    def end(self) -> None:
+        if (
+            self.host.owed() or len(self.dispatchers.connections)
+        ) and self.clock() < self.stop_at - CLOSED_BY:
+            self.deadlines.after(LOOK, self.end)
+            return
+        self.membership.stop()
+        self.interpreter.stop()
+        self.catalogue.stop()
+        self.report.note(f"left with {self.host.owed()} unanswered")
+        self.report.summary()
+        self.ended.callback(None)
--- /dev/null
+++ b/lichencleat/net/config.py
@@ -0,0 +1,83 @@
+"""What the platform tells a node at its start, checked; what is wrong is said in one line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from lichencleat.machine import BadInputError, decode_gauges, decode_machine
+from lichencleat.terms import Machine
+
+PORT_MOST = 65_535  # the last one there is
+
+
+@dataclass(slots=True)
+class Told:
+    name: str
+    listen: tuple[str, int]
+    interpreter: tuple[str, int]
+    members: tuple[str, int]
+    catalogue: tuple[str, int] | None  # None on the last tier
+    seed: str
+    stop_after: int  # µs from the notice to leave to the stop
+    descriptors: int
+    machine: Machine
+    gauges: list[str | None]
+
+
+def read_told(environment: Mapping[str, str]) -> Told:
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise BadInputError("BALANCER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as wrong:
+        raise BadInputError(f"BALANCER_CONFIG: {wrong}") from wrong
+    if not isinstance(told, dict):
+        raise BadInputError("BALANCER_CONFIG: not a JSON object")
+    told.setdefault("name", environment.get("BALANCER_NAME"))
+    told.setdefault("listen", environment.get("BALANCER_LISTEN"))
+    settings, limits = field(told, "settings", dict), field(told, "limits", dict)
+    return Told(
+        name=field(told, "name", str),
+        listen=address(told, "listen"),
+        interpreter=address(told, "vm"),
+        members=address(told, "members"),
+        catalogue=address(told, "catalog") if told.get("catalog") else None,
+        seed=str(field(told, "seed", (str, int))),
+        stop_after=round(field(told, "stop_ms", (int, float)) * 1000),
+        descriptors=field(limits, "sockets", int),
+        machine=machine(settings),
+        gauges=decode_gauges(settings),
+    )
+
+
+def field(told: dict, key: str, kind: Any) -> Any:
+    value = told.get(key)
+    if (
+        not isinstance(value, kind)
+        or isinstance(value, bool)
+        or (isinstance(value, int | float) and value < 0)
+    ):
+        raise BadInputError(f"BALANCER_CONFIG: {key!r} is missing or wrong: {value!r:.60}")
+    return value
+
+
+def address(told: dict, key: str) -> tuple[str, int]:
+    host, _, port = field(told, key, str).rpartition(":")
+    if not host or not port.isdigit() or int(port) > PORT_MOST:
+        raise BadInputError(f"BALANCER_CONFIG: {key!r} is no address: {told[key]!r:.60}")
+    return host, int(port)
+
+
+def machine(settings: dict) -> Machine:
+    try:
+        decoded = decode_machine(settings)
+    except (BadInputError, KeyError, TypeError, ValueError, AttributeError) as wrong:
+        raise BadInputError(f"BALANCER_CONFIG: 'settings': {wrong!r:.200}") from wrong
+    if not decoded.tariffs or any(each.hard_limit <= 0 for each in decoded.tariffs):
+        raise BadInputError("BALANCER_CONFIG: 'settings': no classes, or one without its deadline")
+    return decoded
--- /dev/null
+++ b/lichencleat/net/host.py
@@ -0,0 +1,317 @@
+"""Drives the decisions: turns what happened into calls of `Node`, pulls decisions, and carries them out.
+
+It knows no wire. What reads inquiries (`dispatchers.py`, or another protocol beside it) hands each in as a
+`Case` with a way to answer it; the interpreter and the catalogue tell how runs and calls end.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from lichencleat.decide import Node
+from lichencleat.machine import read_gauges
+from lichencleat.net.catalogue import Call, Catalogue
+from lichencleat.net.deadlines import Deadlines
+from lichencleat.net.interpreter import Interpreter, Run
+from lichencleat.net.receipts import Receipts
+from lichencleat.net.report import Report
+from lichencleat.net.slots import Slots
+from lichencleat.terms import Act, Decision, Effect, Gauges, Inquiry, Machine, Outcome, State
+
+GAUGES_WAIT = 40_000  # µs for the gauges at a wake-up: well under its period, and far over a usual answer
+AFTER_ERROR = 50_000  # µs to the next round after one that failed
+
+
+class Answer(Enum):
+    HONOURED = "honoured"
+    DEFERRED = "deferred"
+    GIVEN_UP = "given up"
+
+
+class Case:
+    """An inquiry in hand, and what the host needs to carry out what is decided on it."""
+
+    __slots__ = ("inquiry", "ident", "body", "key", "reply", "open", "run", "call", "call_body", "spent")
+
+    def __init__(
+        self, inquiry: Inquiry, ident: bytes, body: bytes, key: bytes, reply: Callable[..., None]
+    ) -> None:
+        self.inquiry, self.ident, self.body, self.key = inquiry, ident, body, key
+        self.reply = reply  # with the Answer, the result, the span to stay away, and whether to try elsewhere
+        self.open = True  # an answer is owed
+        self.run: Run | None = None
+        self.call: Call | None = None
+        self.call_body = b""
+        self.spent: list[Any] = []  # connections on which a call of it was given up
+
+
+class Host:
+    """Owns the cases in hand; each is given back in `release` alone."""
+
+    def __init__(
+        self,
+        machine: Machine,
+        gauges: list[str | None],
+        seed: str,
+        clock: Callable[[], int],
+        deadlines: Deadlines,
+        interpreter: Interpreter,
+        catalogue: Catalogue,
+        report: Report,
+    ) -> None:
+        self.machine, self.gauges, self.seed = machine, gauges, seed
+        self.clock, self.deadlines, self.report = clock, deadlines, report
+        self.interpreter, self.catalogue = interpreter, catalogue
+        self.tariffs = {each.name.encode(): each for each in machine.tariffs}
+        self.receipts = Receipts(deadlines)
+        self.cases: Slots[Case] = Slots()
+        self.node: Node | None = None
+        self.leaves_at: int | None = None
+        self.stirred = False
+        self.shares: list[Case] = []  # whose outcome was there already when they were to share it
+        self.healthy = True
+        self.free_value: float | None = None
+        self.close_idle: Callable[[int], None] = lambda span: None
+        self.carries_out = {
+            Act.START: self.start_run,
+            Act.STOP: self.stop_run,
+            Act.DEFER: self.defer,
+            Act.GIVE_UP: self.give_up,
+            Act.CALL: self.place_call,
+            Act.OMIT_CALL: self.give_up,  # this interpreter knows no way to go on without the call
+            Act.RECORD: self.record,
+            Act.STRIKE: self.strike,
+            Act.SHARE: self.share,
+            Act.HEALTH: self.tell_health,
+            Act.TELL: self.tell_free_value,
+            Act.CLOSE_IDLE: self.tell_idle,
+            Act.WAKE: self.ask_wake,
+            Act.NOTE: self.note,
+        }
+
+    # --- what happened ---
+
+    def begin(self, cold: bool) -> None:
+        """The interpreter is up: from now on there is something to decide on."""
+        self.machine.cold = cold
+        self.node = Node(self.machine, random.Random(self.seed))
+        if self.leaves_at is not None:
+            self.node.must_leave(self.clock(), self.leaves_at)
+        self.stir()
+
+    def arrives(self, case: Case) -> None:
+        self.report.count("host", "inquiries")
+        if self.node is None:
+            self.answer(case, Answer.GIVEN_UP)
+            return
+        inquiry = case.inquiry
+        inquiry.number = self.cases.take(case)
+        if inquiry.tariff.effect is Effect.RECEIPTED and case.key:
+            inquiry.repeats = self.receipts.read(case.key, inquiry)
+        self.node.arrives(self.clock(), inquiry)
+        self.stir()
+
+    def caller_left(self, case: Case) -> None:
+        """The caller is known to be gone: no answer is owed any more."""
+        if case.open:
+            case.open = False
+            self.report.count("host", "abandoned")
+            self.tell_left(case)
+            self.release(case)
+            self.stir()
+
+    def tell_left(self, case: Case) -> None:
+        self.node.caller_left(self.clock(), case.inquiry)
+        self.receipts.unshare(case.inquiry.repeats, case)
+        self.drop_call(case)
+
+    def run_waits(self, case: Case, body: bytes) -> None:
+        case.call_body = body
+        self.node.wants_call(self.clock(), case.inquiry)
+        self.stir()
+
+    def run_ended(self, case: Case, outcome: Outcome, took: int, result: bytes) -> None:
+        now, inquiry, run = self.clock(), case.inquiry, case.run
+        case.run = None
+        self.drop_call(case)
+        if outcome in (Outcome.STOPPED, Outcome.VOID) and not (run and run.stopping):
+            self.node.caller_left(now, inquiry)  # it ends by itself only where nobody waits any more
+        self.node.run_ended(now, inquiry, outcome, took)
+        well = outcome is Outcome.COMPLETED
+        if well:
+            self.answer(case, Answer.HONOURED, result)
+        if inquiry.state is State.ENDED:
+            self.answer(case, Answer.GIVEN_UP)
+            for sharer in self.receipts.ended(inquiry, result if well else None):
+                self.end_share(sharer, result if well else None)
+            self.release(case)
+        self.stir()
+
+    def call_ended(self, ended: tuple[Outcome, bytes], case: Case, call: Call) -> None:
+        outcome, reply = ended
+        if case.call is not call:
+            return
+        case.call = None
+        if outcome in (Outcome.OVERDUE, Outcome.CUT):
+            case.spent.append(call.link)
+        now = self.clock()
+        if outcome is Outcome.COMPLETED and case.run is not None:
+            self.interpreter.resolve(case.run, reply)
+        self.node.call_ended(now, case.inquiry, outcome, now - case.inquiry.called_at)
+        self.stir()
+
+    def must_leave(self, at: int) -> None:
+        if self.leaves_at is None:
+            self.leaves_at = at
+            if self.node is not None:
+                self.node.must_leave(self.clock(), at)
+                self.stir()
+
+    def wake(self) -> None:
+        """Guards against old readings: the decisions wake with those asked for now, or with none."""
+        asked = self.interpreter.gauges()
+        if asked is None:
+            self.woken(None)
+            return
+        limit = self.deadlines.after(GAUGES_WAIT, asked.cancel)
+        asked.addCallback(self.woken, limit)
+
+    def woken(self, readings: list[float] | None, limit: Any = None) -> None:
+        self.deadlines.cancel(limit)
+        if readings is None:
+            self.report.count("host", "wake-ups without gauges")
+        self.node.wakes(self.clock(), read_gauges(self.gauges, readings) if readings else Gauges())
+        self.stir()
+
+    # --- decisions ---
+
+    def stir(self) -> None:
+        """Decisions are pulled once for all that the reactor reads in one turn."""
+        if not self.stirred:
+            self.stirred = True
+            self.deadlines.after(0, self.pull)
+
+    def pull(self) -> None:
+        self.stirred = False
+        now = self.clock()
+        self.report.count("host", "rounds")
+        try:
+            while (decision := self.node.next_decision(now)) is not None:
+                self.carry_out(decision)
+        except Exception:
+            self.report.trouble("a round of decisions")
+            self.node.round = None
+            self.deadlines.after(AFTER_ERROR, self.stir)
+        shares, self.shares = self.shares, []
+        for case in shares:
+            receipt = self.receipts.by_inquiry.get(case.inquiry.repeats)
+            self.end_share(case, receipt.result if receipt else None)
+
+    def carry_out(self, decision: Decision) -> None:
+        """Guards the node against an error with one inquiry: that one is given up, the others go on."""
+        case = None
+        try:
+            if decision.inquiry is not None and decision.act is not Act.STRIKE:
+                case = self.cases.get(decision.inquiry.number)
+                if case is None or case.inquiry is not decision.inquiry:
+                    self.report.count("host", f"decisions on ended inquiries: {decision.act.name}")
+                    return
+            self.carries_out[decision.act](decision, case)
+        except Exception:
+            self.report.trouble(f"carrying out {decision.act.name}")
+            if case is not None:
+                self.answer(case, Answer.GIVEN_UP)
+
+    def start_run(self, decision: Decision, case: Case) -> None:
+        case.run = Run(
+            case.ident,
+            lambda body: self.run_waits(case, body),
+            lambda outcome, took, result: self.run_ended(case, outcome, took, result),
+        )
+        tariff = case.inquiry.tariff
+        self.interpreter.apply(case.run, tariff.name.encode(), case.body, tariff.effect is Effect.PURE)
+
+    def stop_run(self, decision: Decision, case: Case) -> None:
+        if case.run is not None:
+            self.interpreter.halt(case.run)
+
+    def defer(self, decision: Decision, case: Case) -> None:
+        self.drop_call(case)
+        self.answer(case, Answer.DEFERRED, span=decision.span, last=decision.flag)
+        self.release(case)
+
+    def give_up(self, decision: Decision, case: Case) -> None:
+        self.drop_call(case)
+        self.receipts.unshare(case.inquiry.repeats, case)
+        self.answer(case, Answer.GIVEN_UP)
+        self.release(case)
+
+    def place_call(self, decision: Decision, case: Case) -> None:
+        case.call = self.catalogue.fetch(case.ident, decision.span, case.call_body, case.spent)
+        case.call.ended.addCallback(self.call_ended, case, case.call)
+
+    def drop_call(self, case: Case) -> None:
+        call, case.call = case.call, None
+        if call is not None:
+            call.ended.cancel()
+
+    def record(self, decision: Decision, case: Case) -> None:
+        self.receipts.record(self.clock(), case.key, case.inquiry, decision.span)
+
+    def strike(self, decision: Decision, case: Case | None) -> None:
+        self.receipts.strike(decision.inquiry)
+
+    def share(self, decision: Decision, case: Case) -> None:
+        """An outcome that is there already is answered after this round: inputs wait for its end."""
+        first = case.inquiry.repeats
+        self.receipts.share(first, case)
+        if first is None or first.state is State.ENDED:
+            self.shares.append(case)
+
+    def end_share(self, case: Case, result: bytes | None) -> None:
+        outcome = Outcome.ERRED if result is None else Outcome.COMPLETED
+        self.node.run_ended(self.clock(), case.inquiry, outcome, 0)
+        self.answer(case, Answer.GIVEN_UP if result is None else Answer.HONOURED, result or b"")
+        self.release(case)
+        self.stir()
+
+    def tell_health(self, decision: Decision, case: Case | None) -> None:
+        self.healthy = decision.flag
+        self.report.note("health " + ("on" if decision.flag else "off"))
+
+    def tell_free_value(self, decision: Decision, case: Case | None) -> None:
+        self.free_value = decision.amount
+
+    def tell_idle(self, decision: Decision, case: Case | None) -> None:
+        self.close_idle(decision.span)
+
+    def ask_wake(self, decision: Decision, case: Case | None) -> None:
+        self.deadlines.after(decision.span, self.wake)
+
+    def note(self, decision: Decision, case: Case | None) -> None:
+        self.report.note(decision.text)
+
+    # --- answers ---
+
+    def answer(
+        self, case: Case, answer: Answer, result: bytes = b"", span: int = 0, last: bool = False
+    ) -> None:
+        """The one place where an answer goes out: guards against a second one."""
+        if case.open:
+            case.open = False
+            self.report.count("host", answer.value)
+            case.reply(answer, result, span, last)
+
+    def release(self, case: Case) -> None:
+        """Gives the case back once it is neither owed an answer nor run."""
+        if case.open or case.run is not None or case.inquiry.number < 0:
+            return
+        self.receipts.over(case.inquiry)
+        self.cases.give_back(case.inquiry.number)
+        case.inquiry.number = -1
+
+    def owed(self) -> int:
+        return sum(case.open for case in self.cases)
--- /dev/null
+++ b/lichencleat/net/membership.py
@@ -0,0 +1,51 @@
+"""Reports to the membership service: one datagram each, unanswered, while the node is to be listed."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from lichencleat.net.deadlines import Deadline, Deadlines
+from lichencleat.net.report import Report
+
+BEAT = 800_000  # µs between reports: three may be lost before the service forgets the node
+
+
+class Membership(DatagramProtocol):
+    noisy = False
+
+    def __init__(self, name: str, service: tuple[str, int], deadlines: Deadlines, report: Report) -> None:
+        self.name, self.service = name, service
+        self.deadlines, self.report = deadlines, report
+        self.next: Deadline | None = None
+        self.port: Any = None
+
+    def start(self, reactor: Any) -> None:
+        self.port = reactor.listenUDP(0, self)
+
+    def startProtocol(self) -> None:  # noqa: N802 (Twisted's name)
+        self.beat()
+
+    def beat(self) -> None:
+        self.next = self.deadlines.after(BEAT, self.beat)
+        self.send("UP")
+
+    def leave(self) -> None:
+        """Says so once and is silent from then on: a report of any kind would keep the node listed."""
+        self.deadlines.cancel(self.next)
+        if self.port is not None:
+            self.send("OUT")
+
+    def stop(self) -> None:
+        self.deadlines.cancel(self.next)
+        if self.port is not None:
+            self.port, port = None, self.port
+            port.stopListening()
+
+    def send(self, state: str) -> None:
+        try:
+            self.transport.write(f"HB {self.name} {state}".encode(), self.service)
+            self.report.count("membership", f"sent {state}")
+        except OSError:
+            self.report.trouble("membership")
--- /dev/null
+++ b/lichencleat/net/program.py
@@ -0,0 +1,60 @@
+"""The program round one real node: configuration, reactor, signals, exit."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from typing import Any
+
+from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.error import CannotListenError
+from twisted.internet.main import installReactor
+from twisted.logger import globalLogBeginner
+
+from lichencleat.machine import BadInputError
+from lichencleat.net.assembly import RealNode, UnixClock
+from lichencleat.net.config import read_told
+from lichencleat.net.report import Report
+
+
+class Reactor(EPollReactor):
+    """Its timers hang on the monotonic clock, so that a step of the system's clock moves none of them."""
+
+    seconds = staticmethod(time.monotonic)
+
+
+def observe(report: Report) -> None:
+    """Guards against errors that reach Twisted: they are counted and told like all others."""
+
+    def log(event: dict[str, Any]) -> None:
+        failure = event.get("log_failure")
+        if failure is not None:
+            report.count("node", "errors")
+            report.note(
+                f"error in the reactor: {failure.getErrorMessage()}: {failure.getBriefTraceback()!r:.400}"
+            )
+
+    globalLogBeginner.beginLoggingTo([log], redirectStandardIO=False, discardBuffer=True)
+
+
+def main() -> int:
+    try:
+        told = read_told(os.environ)
+        reactor = Reactor()
+        installReactor(reactor)
+        node = RealNode(reactor, UnixClock(), told)
+        observe(node.report)
+        node.start()
+    except BadInputError as bad:
+        print(f"lichencleat: {bad}", file=sys.stderr)
+        return 2
+    except CannotListenError as bad:
+        print(f"lichencleat: BALANCER_CONFIG: 'listen': {bad}", file=sys.stderr)
+        return 2
+    node.ended.addCallback(lambda _: reactor.callLater(0, reactor.stop))
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.leave))
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(node.report.summary))
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/lichencleat/net/report.py
@@ -0,0 +1,49 @@
+"""Counters and log lines: what came in, what went out, what went wrong; plain print to standard error."""
+
+from __future__ import annotations
+
+import sys
+import traceback
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+LINES_MOST = 20  # log lines a second: enough to see each kind of trouble, too few to cost a core
+SECOND = 1_000_000  # µs
+
+
+class Report:
+    def __init__(self, name: str, clock: Callable[[], int], out: Any = None) -> None:
+        self.name, self.clock, self.out = name, clock, out or sys.stderr
+        self.counts: Counter[str] = Counter()
+        self.printed: deque[int] = deque(maxlen=LINES_MOST)
+        self.left_out = 0
+
+    def count(self, peer: str, what: str, amount: int = 1) -> None:
+        self.counts[f"{peer} {what}"] += amount
+
+    def note(self, text: str) -> None:
+        """One line, unless the last second has had its lines: then it is only counted."""
+        now = self.clock()
+        if len(self.printed) == LINES_MOST and now - self.printed[0] < SECOND:
+            self.left_out += 1
+            return
+        self.printed.append(now)
+        more = f" (+{self.left_out} lines left out)" if self.left_out else ""
+        self.left_out = 0
+        self.write(f"{self.name} {now / SECOND:.3f} {text}{more}")
+
+    def trouble(self, where: str) -> None:
+        """An exception that was caught: counted, and told with the place that raised it."""
+        self.count("node", "errors")
+        self.note(f"error in {where}: " + " | ".join(traceback.format_exc(limit=-3).split("\n")))
+
+    def write(self, line: str) -> None:
+        try:
+            print(line, file=self.out, flush=True)
+        except OSError:
+            self.count("node", "lines lost")
+
+    def summary(self) -> None:
+        for name in sorted(self.counts):
+            self.write(f"{self.name} counter {name}: {self.counts[name]}")
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -146,6 +146,7 @@
     called_at: int = 0
     call_after: int = 0
     calls_failed: int = 0
+    number: int = -1  # the host's own, for hosts that keep inquiries in numbered slots
 
 
 @dataclass(slots=True)
