--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -57,7 +57,7 @@
     def start(self) -> None:
         self.dispatchers.listen(self.reactor, self.told.listen)
         self.interpreter.start().addCallback(self.host.begin)
-        self.membership.start(self.reactor)
+        self.membership.start(self.reactor, self.told.listen[0])
 
     def leave(self) -> None:
         """The notice to leave: only the first one counts."""
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
+from math import isfinite
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -12,12 +13,12 @@
 from lichencleat.net.report import Report
 from lichencleat.net.resp import ArrayReader, BrokenFramingError, array
 from lichencleat.net.slots import Slots
-from lichencleat.terms import Inquiry
+from lichencleat.terms import Effect, Inquiry
 
 BODY_MOST = 2_048  # bytes, by the protocol
 RESERVE = 64  # descriptors kept for the listener, interpreter, catalogue, members and the process itself
 UNREAD_LONG = 10_000_000  # µs that a caller may leave answers unread: longer than any inquiry waits
-CLOSE_AFTER = 1_000_000  # µs after goaway by which an unused connection is closed from here
+CLOSE_AFTER = 300_000  # µs after goaway by which an unused connection is closed from here: what crossed is in
 WORDS = {Answer.HONOURED: b"200", Answer.DEFERRED: b"503", Answer.GIVEN_UP: b"500"}
 
 
@@ -25,6 +26,13 @@
     """An array that is none; its text says what is wrong."""
 
 
+def amount(said: dict[bytes, bytes], name: bytes) -> float:
+    value = float(said.get(name, 0))
+    if not isfinite(value) or value < 0:
+        raise ValueError(f"no amount: {value}")
+    return value
+
+
 class Connection(Protocol):
     """Owns the tags open on it; each is given back in `answer`, or all in `connectionLost`."""
 
@@ -136,21 +144,22 @@
         try:
             said = dict(each.split(b"=", 1) for each in words[3].split(b","))
             ident, arrived = said[b"i"], min(int(said[b"s"]) * 1000, now)
-            if len(ident) != 16 or not ident.isalnum():
-                raise ValueError("an id has 16 digits")
+            key = said[b"k"] if tariff.effect is Effect.RECEIPTED else b""
+            if len(ident) != 16 or int(ident, 16) < 0 or ident in host.idents:
+                raise ValueError("an id has 16 digits and is new")
             inquiry = Inquiry(
                 tariff=tariff,
                 arrived=arrived,
                 due=max(arrived + tariff.hard_limit, now),
-                place=float(said.get(b"p", 0)),
+                place=amount(said, b"p"),
                 caller=int(said.get(b"f", 0)),
                 further_try=said.get(b"r") == b"1",
-                cost=int(float(said.get(b"h", 0)) * 1000),
-                size_kb=float(said.get(b"m", 0)),
+                cost=int(amount(said, b"h") * 1000),
+                size_kb=amount(said, b"m"),
             )
         except (KeyError, ValueError, OverflowError) as wrong:
             raise BadInquiryError(f"fields {words[3][:120]!r}: {wrong!r}") from wrong
-        case = Case(inquiry, ident, body, said.get(b"k", b""), partial(self.answer, tag))
+        case = Case(inquiry, ident, body, key, partial(self.answer, tag))
         self.cases[tag] = case
         host.arrives(case)
 
@@ -184,7 +193,12 @@
 
     def end_if_done(self) -> None:
         if self.closing and not self.cases:
-            self.transport.loseConnection()
+            self.lose()
+
+    def lose(self) -> None:
+        """Guards against a connection that never ends: one with a producer waits for it to go on."""
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
 
     # --- idle connections ---
 
@@ -216,7 +230,7 @@
         if self.cases:
             self.idle = self.door.deadlines.after(CLOSE_AFTER, self.close_unused)
         else:
-            self.transport.loseConnection()
+            self.lose()
 
 
 class Dispatchers(Factory):
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from enum import Enum
+from functools import partial
 from typing import Any
 
 from lichencleat.decide import Node
@@ -68,6 +69,7 @@
         self.tariffs = {each.name.encode(): each for each in machine.tariffs}
         self.receipts = Receipts(deadlines)
         self.cases: Slots[Case] = Slots()
+        self.idents: set[bytes] = set()  # of the cases in hand
         self.node: Node | None = None
         self.leaves_at: int | None = None
         self.stirred = False
@@ -109,6 +111,7 @@
             return
         inquiry = case.inquiry
         inquiry.number = self.cases.take(case)
+        self.idents.add(case.ident)
         if inquiry.tariff.effect is Effect.RECEIPTED and case.key:
             inquiry.repeats = self.receipts.read(case.key, inquiry)
         self.node.arrives(self.clock(), inquiry)
@@ -150,8 +153,7 @@
             self.release(case)
         self.stir()
 
-    def call_ended(self, ended: tuple[Outcome, bytes], case: Case, call: Call) -> None:
-        outcome, reply = ended
+    def call_ended(self, case: Case, call: Call, outcome: Outcome, reply: bytes) -> None:
         if case.call is not call:
             return
         case.call = None
@@ -186,6 +188,24 @@
         self.node.wakes(self.clock(), read_gauges(self.gauges, readings) if readings else Gauges())
         self.stir()
 
+    def tend(self, case: Case, happened: Callable[..., None], *values: Any) -> None:
+        """Guards the node against an error with one inquiry: that one fails, the others go on."""
+        try:
+            happened(case, *values)
+        except Exception:
+            self.report.trouble(happened.__name__)
+            self.fail(case)
+
+    def fail(self, case: Case) -> None:
+        self.answer(case, Answer.GIVEN_UP)
+        self.drop_call(case)
+        if case.run is not None:
+            self.interpreter.halt(case.run)
+        elif case.inquiry.number >= 0:
+            self.node.run_ended(self.clock(), case.inquiry, Outcome.ERRED, 0)
+            self.release(case)
+        self.stir()
+
     # --- decisions ---
 
     def stir(self) -> None:
@@ -224,12 +244,13 @@
             self.report.trouble(f"carrying out {decision.act.name}")
             if case is not None:
                 self.answer(case, Answer.GIVEN_UP)
+                self.deadlines.after(0, self.fail, case)
 
     def start_run(self, decision: Decision, case: Case) -> None:
         case.run = Run(
             case.ident,
-            lambda body: self.run_waits(case, body),
-            lambda outcome, took, result: self.run_ended(case, outcome, took, result),
+            partial(self.tend, case, self.run_waits),
+            partial(self.tend, case, self.run_ended),
         )
         tariff = case.inquiry.tariff
         self.interpreter.apply(case.run, tariff.name.encode(), case.body, tariff.effect is Effect.PURE)
@@ -251,7 +272,9 @@
 
     def place_call(self, decision: Decision, case: Case) -> None:
         case.call = self.catalogue.fetch(case.ident, decision.span, case.call_body, case.spent)
-        case.call.ended.addCallback(self.call_ended, case, case.call)
+        case.call.ended.addCallback(
+            lambda ended, call: self.tend(case, self.call_ended, call, *ended), case.call
+        )
 
     def drop_call(self, case: Case) -> None:
         call, case.call = case.call, None
@@ -310,6 +333,7 @@
         if case.open or case.run is not None or case.inquiry.number < 0:
             return
         self.receipts.over(case.inquiry)
+        self.idents.discard(case.ident)
         self.cases.give_back(case.inquiry.number)
         case.inquiry.number = -1
 
--- a/lichencleat/net/membership.py
+++ b/lichencleat/net/membership.py
@@ -21,8 +21,8 @@
         self.next: Deadline | None = None
         self.port: Any = None
 
-    def start(self, reactor: Any) -> None:
-        self.port = reactor.listenUDP(0, self)
+    def start(self, reactor: Any, interface: str) -> None:
+        self.port = reactor.listenUDP(0, self, interface=interface)
 
     def startProtocol(self) -> None:  # noqa: N802 (Twisted's name)
         self.beat()
--- a/lichencleat/net/report.py
+++ b/lichencleat/net/report.py
@@ -6,15 +6,14 @@
 import traceback
 from collections import Counter, deque
 from collections.abc import Callable
-from typing import Any
 
 LINES_MOST = 20  # log lines a second: enough to see each kind of trouble, too few to cost a core
 SECOND = 1_000_000  # µs
 
 
 class Report:
-    def __init__(self, name: str, clock: Callable[[], int], out: Any = None) -> None:
-        self.name, self.clock, self.out = name, clock, out or sys.stderr
+    def __init__(self, name: str, clock: Callable[[], int]) -> None:
+        self.name, self.clock = name, clock
         self.counts: Counter[str] = Counter()
         self.printed: deque[int] = deque(maxlen=LINES_MOST)
         self.left_out = 0
@@ -40,7 +39,7 @@
 
     def write(self, line: str) -> None:
         try:
-            print(line, file=self.out, flush=True)
+            print(line, file=sys.stderr, flush=True)
         except OSError:
             self.count("node", "lines lost")
 
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,402 @@
+"""The parts of the real node, each on its own, with Twisted's clock and transports in memory."""
+
+import random
+
+import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from lichencleat.decide import Node
+from lichencleat.net.catalogue import BEYOND, IDLE, Catalogue
+from lichencleat.net.deadlines import Deadlines
+from lichencleat.net.dispatchers import Connection, Dispatchers
+from lichencleat.net.host import Answer, Case, Host
+from lichencleat.net.interpreter import Interpreter, Link, Run
+from lichencleat.net.receipts import READ_LATE, Receipts
+from lichencleat.net.report import LINES_MOST, Report
+from lichencleat.net.slots import Slots
+from lichencleat.terms import Act, Decision, Effect, Inquiry, Machine, Outcome, State, Tariff
+
+SECOND = 1_000_000
+ID = b"00000000000000a1"
+
+
+class Transport(StringTransport):
+    """As a TCP one, which also can be cut off."""
+
+    aborted = False
+
+    def setTcpNoDelay(self, on):  # noqa: N802 (Twisted's name)
+        pass
+
+    def abortConnection(self):  # noqa: N802 (Twisted's name)
+        self.aborted = True
+
+
+class Reactor(Clock):
+    """Twisted's clock, and connections that the test makes itself."""
+
+    def __init__(self):
+        super().__init__()
+        self.connects = []
+
+    def connectTCP(self, host, port, factory, timeout):  # noqa: N802 (Twisted's name)
+        self.connects.append(factory)
+
+
+@pytest.fixture
+def reactor():
+    return Reactor()
+
+
+@pytest.fixture
+def report(reactor):
+    return Report("n1", lambda: int(reactor.seconds() * SECOND))
+
+
+@pytest.fixture
+def deadlines(reactor, report):
+    return Deadlines(reactor, report.trouble)
+
+
+@pytest.fixture
+def tariff():
+    return Tariff("look", soft_limit=2 * SECOND, hard_limit=5 * SECOND)
+
+
+@pytest.fixture
+def receipted():
+    return Tariff("save", Effect.RECEIPTED, soft_limit=2 * SECOND, hard_limit=5 * SECOND, window=9 * SECOND)
+
+
+@pytest.fixture
+def host(reactor, deadlines, report, tariff, receipted):
+    machine = Machine(cores=2, memory_kb=10_000.0, tariffs=[tariff, receipted])
+    made = Host(
+        machine,
+        [],
+        "5",
+        lambda: int(reactor.seconds() * SECOND),
+        deadlines,
+        Interpreter(reactor, ("", 0), deadlines, report),
+        Catalogue(reactor, ("", 0), deadlines, report),
+        report,
+    )
+    made.node = Node(machine, random.Random(1))
+    return made
+
+
+@pytest.fixture
+def answers():
+    return []
+
+
+@pytest.fixture
+def case(host, tariff, answers):
+    made = Case(Inquiry(tariff, 0, 5 * SECOND), ID, b"x", b"", lambda *answer: answers.append(answer[0]))
+    made.inquiry.number = host.cases.take(made)
+    return made
+
+
+@pytest.fixture
+def connection(host, deadlines, report):
+    made = Connection(Dispatchers(host, deadlines, report, 100))
+    made.makeConnection(Transport())
+    return made
+
+
+@pytest.fixture
+def link(reactor, deadlines, report):
+    made = Link(Interpreter(reactor, ("", 0), deadlines, report))
+    made.interpreter.link = made
+    made.makeConnection(Transport())
+    made.transport.clear()
+    made.ready = True
+    return made
+
+
+@pytest.fixture
+def run():
+    heard = []
+    made = Run(ID, lambda *what: heard.append(what), lambda *what: heard.append(what))
+    return made, heard
+
+
+# --- slots, deadlines, report ---
+
+
+def test_a_slot_goes_to_the_next_and_is_given_back_once():
+    slots = Slots()
+    first = slots.take("a")
+    slots.give_back(first)
+    with pytest.raises(KeyError):
+        slots.give_back(first)
+    assert slots.take("b") == first and list(slots) == ["b"] and len(slots) == 1
+
+
+def test_deadlines_fire_in_order_and_not_once_cancelled(reactor, deadlines):
+    fired = []
+    for span in (30, 10, 20):
+        deadlines.after(span * 1000, fired.append, span)
+    deadlines.cancel(deadlines.after(15_000, fired.append, 15))
+    for _ in range(4):
+        reactor.advance(0.01)
+    assert fired == [10, 20, 30]
+
+
+def test_after_a_pause_the_reactor_reads_before_what_is_late(reactor, deadlines):
+    fired = []
+    deadlines.after(10_000, fired.append, "late")
+    reactor.rightNow += 1
+    deadlines.fire()
+    assert not fired  # what the reactor does between these two is to read
+    deadlines.fire()
+    assert fired == ["late"]
+
+
+def test_cancelled_deadlines_do_not_pile_up(deadlines):
+    for _ in range(1000):
+        deadlines.cancel(deadlines.after(SECOND, print))
+    assert len(deadlines.heap) < 200
+
+
+def test_an_error_in_a_timer_is_counted_and_the_others_fire(reactor, deadlines, report):
+    fired = []
+    deadlines.after(1000, lambda: 1 / 0)
+    deadlines.after(1000, fired.append, 1)
+    reactor.advance(0.01)
+    assert fired == [1] and report.counts["node errors"] == 1
+
+
+def test_log_lines_are_rate_limited_and_the_rest_counted(report, reactor, capsys):
+    for _ in range(LINES_MOST + 5):
+        report.note("x")
+    reactor.advance(2)
+    report.note("y")
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == LINES_MOST + 1 and "+5 lines" in lines[-1]
+
+
+# --- receipts ---
+
+
+def test_an_entry_leads_tries_that_came_before_it_ran_out(reactor, deadlines, receipted):
+    receipts = Receipts(deadlines)
+    first = Inquiry(receipted, 0, 0, started=1)
+    assert receipts.read(b"k", first) is None
+    receipts.record(0, b"k", first, SECOND)
+    first.state = State.ENDED
+    assert receipts.read(b"k", Inquiry(receipted, SECOND, 0)) is first
+    assert receipts.read(b"k", Inquiry(receipted, SECOND + 1, 0)) is None
+    reactor.advance((SECOND + READ_LATE) / SECOND + 0.01)
+    reactor.advance(0)
+    assert first not in receipts.by_inquiry
+
+
+def test_two_tries_read_together_are_linked_without_an_entry(deadlines, receipted):
+    receipts = Receipts(deadlines)
+    first, second, third = (Inquiry(receipted, 0, 0) for _ in range(3))
+    assert receipts.read(b"k", first) is None and receipts.read(b"k", second) is first
+    first.state = State.ENDED
+    receipts.over(first)
+    assert receipts.read(b"k", third) is None
+
+
+# --- interpreter ---
+
+
+def test_a_notice_that_comes_again_is_passed_over(link, run):
+    made, heard = run
+    link.interpreter.runs[ID] = made
+    for _ in range(2):
+        link.dataReceived(b"VALUE 1 %s PASS 2.5 2\r\nok\r\n" % ID)
+    assert heard == [(Outcome.COMPLETED, 2500, b"ok")] and not link.interpreter.runs
+
+
+@pytest.mark.parametrize(("written", "pure", "again"), [(True, True, 1), (True, False, 0), (False, False, 1)])
+def test_a_new_link_says_again_only_what_does_no_harm(link, run, written, pure, again):
+    made, _ = run
+    link.ready = written
+    link.interpreter.apply(made, b"look", b"x", pure)
+    link.transport.clear()
+    link.interpreter.renew(link)
+    assert link.transport.value().count(b"APPLY") == again
+
+
+def test_an_unconfirmed_reply_is_not_said_again_as_the_run_may_be_at_its_next_call(link, run):
+    made, _ = run
+    link.interpreter.apply(made, b"look", b"x", True)
+    link.interpreter.resolve(made, b"reply")
+    link.transport.clear()
+    link.interpreter.renew(link)
+    assert not link.transport.value()
+
+
+def test_a_command_that_was_not_carried_out_ends_its_run(link, run):
+    made, heard = run
+    link.interpreter.runs[ID] = made
+    link.dataReceived(b"ERROR APPLY %s\r\n" % ID)
+    assert heard == [(Outcome.ERRED, 0, b"")]
+
+
+def test_gauges_asked_before_the_link_broke_come_as_none(link):
+    heard = []
+    link.interpreter.gauges().addCallback(heard.append)
+    link.connectionLost()
+    assert heard == [None]
+
+
+# --- catalogue ---
+
+
+@pytest.fixture
+def catalogue(reactor, deadlines, report):
+    return Catalogue(reactor, ("", 0), deadlines, report)
+
+
+@pytest.fixture
+def place(reactor, catalogue):
+    def place(spent=(), connected=True):
+        known = len(catalogue.links)
+        call, heard = catalogue.fetch(ID, SECOND, b"x", list(spent)), []
+        call.ended.addCallback(heard.append)
+        if connected and len(catalogue.links) > known:
+            call.link.makeConnection(Transport())
+        return call, heard
+
+    return place
+
+
+def test_a_refused_connection_proves_that_no_call_ran(reactor, place):
+    _, heard = place(connected=False)
+    reactor.connects[0].clientConnectionFailed(None, None)
+    assert heard == [(Outcome.UNREACHED, b"")]
+
+
+def test_a_broken_connection_proves_nothing(catalogue, place):
+    call, heard = place()
+    call.link.connectionLost()
+    assert heard == [(Outcome.CUT, b"")] and not catalogue.links
+
+
+def test_a_silent_proxy_is_given_up_past_the_stated_time(reactor, place):
+    call, heard = place()
+    reactor.advance((SECOND + BEYOND) / SECOND + 0.01)
+    reactor.advance(0)
+    assert heard == [(Outcome.OVERDUE, b"")] and b"QUIT " + ID in call.link.transport.value()
+
+
+def test_the_late_reply_to_a_call_given_up_is_not_taken_for_the_next_one(place):
+    first, _ = place()
+    first.ended.cancel()
+    second, heard = place(spent=[first.link])
+    first.link.dataReceived(ID + b" DATA 3\r\nold\r\n")
+    assert second.link is not first.link and not heard
+    second.link.dataReceived(ID + b" DATA 3\r\nnew\r\n")
+    assert heard == [(Outcome.COMPLETED, b"new")]
+
+
+def test_an_idle_connection_is_closed_before_the_other_side_does(reactor, catalogue, place):
+    call, _ = place()
+    call.link.dataReceived(ID + b" LATER\r\n")
+    reactor.advance(IDLE / SECOND + 0.01)
+    reactor.advance(0)
+    assert call.link.transport.disconnecting and not catalogue.links
+
+
+# --- host ---
+
+
+def test_an_inquiry_is_answered_once(host, case, answers):
+    host.answer(case, Answer.GIVEN_UP)
+    host.answer(case, Answer.HONOURED, b"x")
+    assert answers == [Answer.GIVEN_UP]
+
+
+def test_a_run_that_ends_by_itself_means_that_its_caller_left(host, case, answers):
+    case.run = Run(ID, print, print)
+    host.node.running[case.inquiry] = None
+    host.run_ended(case, Outcome.STOPPED, 0, b"")
+    assert answers == [Answer.GIVEN_UP] and not host.node.held and not len(host.cases)
+
+
+def test_a_stopped_run_goes_back_to_the_hold_where_its_answer_is_owed(host, case, answers):
+    case.run = Run(ID, print, print)
+    case.run.stopping = True
+    host.node.running[case.inquiry] = None
+    host.run_ended(case, Outcome.STOPPED, 0, b"")
+    assert not answers and case.inquiry in host.node.held
+
+
+def test_an_error_with_one_inquiry_fails_that_one_alone(host, case, answers, report):
+    host.carries_out[Act.DEFER] = lambda decision, case: 1 / 0
+    host.carry_out(Decision(Act.DEFER, case.inquiry))
+    assert answers == [Answer.GIVEN_UP] and report.counts["node errors"] == 1
+
+
+def test_a_round_that_fails_is_followed_by_another(host, reactor, report):
+    host.node.decide = lambda now: iter([1 / 0])
+    host.pull()
+    del host.node.decide
+    reactor.advance(0.1)
+    reactor.advance(0)
+    reactor.advance(0)
+    assert report.counts["node errors"] == 1 and host.node.wake_at
+
+
+def test_sharers_of_a_run_that_failed_are_given_up(host, receipted, answers):
+    first, second = Inquiry(receipted, 0, 0, started=1), Inquiry(receipted, 0, 0)
+    second.repeats = first
+    cases = [Case(each, ID, b"", b"k", lambda *answer: answers.append(answer[0])) for each in (first, second)]
+    for each in cases:
+        each.inquiry.number = host.cases.take(each)
+    host.receipts.record(0, b"k", first, SECOND)
+    host.node.running[first] = host.node.sharing[second] = None
+    host.share(Decision(Act.SHARE, second), cases[1])
+    host.run_ended(cases[0], Outcome.ERRED, 0, b"")
+    assert answers == [Answer.GIVEN_UP] * 2 and not len(host.cases)
+
+
+def test_gauges_that_do_not_come_are_not_waited_for(host, link, reactor, report):
+    host.interpreter = link.interpreter
+    host.wake()
+    assert link.gauges and not report.counts["host wake-ups without gauges"]
+    reactor.advance(0.05)
+    assert not link.gauges and report.counts["host wake-ups without gauges"] == 1
+
+
+# --- dispatchers ---
+
+
+def test_answers_that_nobody_reads_end_the_connection(connection, reactor):
+    connection.pauseProducing()
+    reactor.advance(11)
+    reactor.advance(0)
+    assert connection.transport.aborted
+
+
+def test_a_tag_in_use_ends_the_connection_after_its_answer(connection):
+    data = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$4\r\nlook\r\n$22\r\ni=%s,s=1\r\n$1\r\nx\r\n"
+    connection.dataReceived(data % ID)
+    connection.dataReceived(data % b"00000000000000b2")
+    assert len(connection.cases) == 1 and not connection.transport.disconnecting
+    connection.cases[7].reply(Answer.HONOURED, b"x", 0, False)
+    assert connection.transport.disconnecting
+
+
+def test_idle_connections_are_sent_away_and_closed_but_none_with_something_open(connection, reactor):
+    connection.checks_only = False
+    connection.cases[1] = None
+    connection.door.close_idle(100_000)
+    for _ in range(10):
+        reactor.advance(0.06)
+    assert not connection.transport.value()
+    connection.cases.clear()
+    for _ in range(20):
+        reactor.advance(0.06)
+    assert b"goaway" in connection.transport.value() and connection.transport.disconnecting
+
+
+def test_a_connection_too_many_is_closed_at_once(connection):
+    connection.door.most = 1
+    assert connection.door.buildProtocol(None) is None
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,66 @@
+import pytest
+
+from lichencleat.net import lines, resp
+
+ARRAY = b"".join(resp.array(b"REQ", b"7", b"", b"a\r\nb"))
+LINES = b"TRACE 1 all well 5\r\nVALUE 2 a1 PASS 3 4\r\n\r\n\r\n\r\nTOPS g1 1 2 3 4\r\n"
+
+
+@pytest.fixture
+def arrays():
+    return resp.ArrayReader()
+
+
+@pytest.fixture
+def reader():
+    return lines.LineReader(lambda words: words[0] == b"VALUE")
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 7, 1000])
+def test_arrays_may_be_split_anywhere(arrays, step):
+    data = ARRAY * 3
+    got = [words for at in range(0, len(data), step) for words in arrays.feed(data[at : at + step])]
+    assert got == [[b"REQ", b"7", b"", b"a\r\nb"]] * 3 and not arrays.buffer
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        b"*0\r\n",
+        b"*17\r\n",
+        b"$3\r\nREQ\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*1\r\n$1\r\nabc",
+        b"*" + b"1" * 20,
+    ],
+)
+def test_an_array_out_of_bounds_is_broken_framing(arrays, broken):
+    with pytest.raises(resp.BrokenFramingError):
+        list(arrays.feed(broken))
+
+
+def test_the_buffer_is_cut_though_an_array_is_always_under_way(arrays):
+    big = b"".join(resp.array(b"x" * 60_000))
+    list(arrays.feed(big[:5]))
+    for _ in range(10):
+        assert len(list(arrays.feed(big[5:] + big[:5]))) == 1
+    assert len(arrays.buffer) < 3 * len(big)
+
+
+@pytest.mark.parametrize("step", [1, 2, 5, 1000])
+def test_lines_and_their_bodies_may_be_split_anywhere(reader, step):
+    data = LINES * 2
+    got = [message for at in range(0, len(data), step) for message in reader.feed(data[at : at + step])]
+    assert [words[0] for words, _ in got] == [b"TRACE", b"VALUE", b"TOPS"] * 2
+    assert [body for _, body in got] == [b"", b"\r\n\r\n", b""] * 2
+
+
+@pytest.mark.parametrize("broken", [b"x" * 2000, b"VALUE 1 x\r\n", b"VALUE 9999999\r\n", b"VALUE 1\r\nabc"])
+def test_a_line_out_of_bounds_is_broken_framing(reader, broken):
+    with pytest.raises(lines.BrokenFramingError):
+        list(reader.feed(broken))
+
+
+def test_a_body_is_written_with_its_length():
+    assert b"".join(lines.line_with_body(b"RESOLVE", b"a1", body=b"\r\n")) == b"RESOLVE a1 2\r\n\r\n\r\n"
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,204 @@
+"""The program as `run` starts it, spoken to over sockets."""
+
+import signal
+import socket
+
+import pytest
+from standins import PATIENCE, Program, array, inquiry
+
+A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+
+
+@pytest.fixture
+def program(tmp_path):
+    started = Program(tmp_path)
+    yield started
+    started.close()
+
+
+@pytest.fixture
+def peer(program):
+    opened = program.ready()
+    yield opened
+    opened.close()
+
+
+def adds_up(counters):
+    answered = sum(
+        counters.get(f"host {how}", 0) for how in ("honoured", "deferred", "given up", "abandoned")
+    )
+    return counters["host inquiries"] == answered and not counters.get("node errors")
+
+
+def test_an_inquiry_is_honoured_with_a_call_and_the_counters_add_up(program, peer):
+    peer.send(inquiry(7, b"look", A, b"what\r\n is"))
+    assert program.interpreter.next() == ([b"APPLY", A.encode(), b"look", b"9"], b"what\r\n is")
+    program.interpreter.notice(b"AWAIT " + A.encode(), b"a call\r\n")
+    caller, words, body = program.catalogue.next()
+    assert words[:2] == [b"FETCH", A.encode()] and 0 < int(words[2]) <= 6000 and body == b"a call\r\n"
+    caller.send(b"%s DATA 5\r\nre\r\nx\r\n" % A.encode())
+    assert program.interpreter.next() == ([b"RESOLVE", A.encode(), b"5"], b"re\r\nx")
+    program.interpreter.notice(b"VALUE %s PASS 12" % A.encode(), b"done")
+    tag, word, fields, result = peer.array()
+    assert (tag, word, result) == (b"7", b"200", b"done") and fields.startswith(b"v=")
+    program.leave()
+    assert peer.array() == [b"0", b"goaway"]
+    peer.close()
+    code, counters, _ = program.end()
+    assert code == 0 and adds_up(counters)
+    assert counters["host honoured"] == counters["dispatchers got inquiries"] == 1
+    assert counters["catalogue sent FETCH"] == counters["interpreter got AWAIT"] == 1
+
+
+def test_repeats_of_a_receipted_inquiry_share_its_one_run(program, peer):
+    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"save", B, b"x", k=KEY))
+    assert program.interpreter.next()[0][:2] == [b"APPLY", A.encode()]
+    program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"saved")
+    answers = sorted(peer.array() for _ in range(2))
+    peer.send(inquiry(3, b"save", C, b"x", k=KEY))
+    answers.append(peer.array())
+    assert [(each[0], each[1], each[3]) for each in answers] == [
+        (tag, b"200", b"saved") for tag in (b"1", b"2", b"3")
+    ]
+    assert program.interpreter.commands.empty()
+
+
+def test_a_result_is_kept_for_a_repeat_though_its_own_caller_left(program, peer):
+    peer.send(inquiry(1, b"save", A, b"x", k=KEY))
+    program.interpreter.next()
+    peer.send(array(b"ABORT", b"1") + inquiry(2, b"save", B, b"x", k=KEY))
+    program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"saved")
+    assert peer.array()[:2] == [b"2", b"200"]
+
+
+def test_what_arrives_too_late_is_deferred_with_its_fields_and_its_tag_ends(program, peer):
+    peer.send(inquiry(4, b"look", A, b"x", s=1_000))
+    tag, word, fields, _ = peer.array()
+    assert (tag, word) == (b"4", b"503") and b"w=" in fields and b"v=" in fields
+    assert program.interpreter.commands.empty()
+
+
+def test_an_abort_stops_the_run_and_is_owed_no_answer(program, peer):
+    peer.send(inquiry(1, b"look", A, b"x"))
+    program.interpreter.next()
+    peer.send(array(b"ABORT", b"1"))
+    assert program.interpreter.next()[0] == [b"BREAK", A.encode()]
+    program.interpreter.notice(b"VALUE %s KILLED 5" % A.encode(), b"")
+    peer.send(array(b"HEALTH", b"2", b""))
+    assert peer.array()[:2] == [b"2", b"serving"]
+    program.leave()
+    assert peer.array() == [b"0", b"goaway"]
+    peer.close()
+    code, counters, _ = program.end()
+    assert code == 0 and adds_up(counters) and counters["host abandoned"] == 1
+
+
+def test_a_lost_connection_abandons_all_that_is_open_on_it(program, peer):
+    other = program.dispatcher()
+    other.send(inquiry(1, b"look", A, b"x"))
+    program.interpreter.next()
+    other.close()
+    assert program.interpreter.next()[0] == [b"BREAK", A.encode()]
+    peer.send(array(b"HEALTH", b"1", b""))
+    assert peer.array()[1] == b"serving"
+
+
+def test_a_lost_link_is_renewed_and_neither_a_notice_nor_a_run_is_lost_or_doubled(program, peer):
+    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"look", B, b"y"))
+    program.interpreter.next(), program.interpreter.next()
+    program.interpreter.cut()
+    program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"saved")
+    assert peer.array()[:2] == [b"1", b"200"]
+    assert program.interpreter.connects.get(timeout=PATIENCE) == 0
+    assert program.interpreter.next() == ([b"APPLY", B.encode(), b"look", b"1"], b"y")
+    program.interpreter.notice(b"VALUE %s PASS 5" % B.encode(), b"seen")
+    assert peer.array()[:2] == [b"2", b"200"]
+
+
+def test_sigterm_under_work_answers_all_that_was_read_and_ends_before_the_stop(program, peer):
+    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"look", B, b"y"))
+    program.interpreter.next(), program.interpreter.next()
+    program.leave()
+    while program.members.recv(100) != b"HB n1 OUT":
+        pass
+    program.leave()
+    program.interpreter.notice(b"VALUE %s PASS 5" % B.encode(), b"seen")
+    assert peer.array()[:2] == [b"2", b"200"]
+    last = sorted(peer.array()[:2] for _ in range(2))
+    assert last == [[b"0", b"goaway"], [b"1", b"500"]]  # the receipted run does not end before the stop
+    peer.close()
+    code, counters, _ = program.end()
+    assert code == 0 and adds_up(counters)
+
+
+def test_counters_are_printed_on_a_signal(program, peer):
+    peer.send(array(b"HEALTH", b"1", b""))
+    peer.array()
+    program.process.send_signal(signal.SIGUSR1)
+    while "dispatchers got checks: 1" not in program.process.stderr.readline():
+        assert program.process.poll() is None
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        array(b"NONSENSE", b"9", b"x"),
+        inquiry(9, b"unheard-of", A, b"x"),
+        inquiry(9, b"look", "short", b"x"),
+        inquiry(9, b"look", A, b"x", m="nan"),
+        inquiry(9, b"look", A, b"x", s="soon"),
+        inquiry(9, b"save", A, b"x"),
+        inquiry(9, b"look", A, b"x" * 2049),
+        array(b"REQ", b"9", b"look"),
+    ],
+)
+def test_an_unusable_array_with_a_tag_is_answered_as_failed_and_the_connection_goes_on(program, peer, bad):
+    peer.send(bad + array(b"HEALTH", b"10", b""))
+    assert peer.array()[:2] == [b"9", b"500"]
+    assert peer.array()[:2] == [b"10", b"serving"]
+
+
+@pytest.mark.parametrize(
+    "broken", [b"GET / HTTP/1.1\r\n\r\n", b"*-1\r\n", b"*2\r\n$99999999\r\n", array(b"REQ"), b"x" * 100]
+)
+def test_broken_framing_ends_its_connection_after_its_answers_and_disturbs_no_other(program, peer, broken):
+    other = program.dispatcher()
+    other.send(inquiry(1, b"look", A, b"x"))
+    program.interpreter.next()
+    other.send(broken)
+    peer.send(array(b"HEALTH", b"1", b""))
+    assert peer.array()[1] == b"serving"
+    program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"seen")
+    assert other.array()[:2] == [b"1", b"200"]
+    assert other.array() is None
+
+
+def test_unknown_notices_and_replies_are_passed_over(program, peer):
+    peer.send(inquiry(1, b"look", A, b"x"))
+    program.interpreter.next()
+    program.interpreter.peer.send(b"NOVELTY 1 2\r\n\r\nVALUE x\r\nVALUE 1 %s ODD 5 0\r\n\r\n" % A.encode())
+    program.interpreter.notices.append(b"")
+    program.interpreter.notice(b"AWAIT " + A.encode(), b"a call")
+    caller, _, _ = program.catalogue.next()
+    caller.send(b"nonsense\r\n%s WHO 2\r\nxx\r\n%s DATA 2\r\nok\r\n" % (B.encode(), A.encode()))
+    assert program.interpreter.next()[0][0] == b"RESOLVE"
+
+
+@pytest.mark.parametrize(
+    ("changes", "says"),
+    [({"vm": "nowhere"}, "vm"), ({"settings": {}}, "settings"), ({"stop_ms": "x"}, "stop_ms")],
+)
+def test_a_bad_configuration_is_told_in_one_line(tmp_path, changes, says):
+    started = Program(tmp_path, **changes)
+    code, _, err = started.end()
+    started.close()
+    assert code == 2 and len(err.splitlines()) == 1 and says in err
+
+
+def test_an_address_in_use_is_told_in_one_line(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        started = Program(tmp_path, listen="{}:{}".format(*taken.getsockname()))
+        code, _, err = started.end()
+        started.close()
+    assert code == 2 and len(err.splitlines()) == 1 and "listen" in err
