--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -67,7 +67,8 @@
             self.report.note("told to leave")
             self.host.must_leave(self.stop_at)
             self.membership.leave()
-            self.deadlines.after(self.told.machine.grace, self.look)
+            latest = max(0, self.told.stop_after - CLOSED_BY - CROSSING)
+            self.deadlines.after(min(self.told.machine.grace, latest), self.look)
 
     def look(self) -> None:
         """After the grace nothing new is run: the program ends as soon as all is answered."""
--- a/lichencleat/net/catalogue.py
+++ b/lichencleat/net/catalogue.py
@@ -69,7 +69,7 @@
             if call.written and self.transport is not None:
                 self.transport.writeSequence(line(b"QUIT", call.ident))
                 self.catalogue.report.count("catalogue", "sent QUIT")
-            self.finish(call, outcome)
+            self.finish(call, outcome if call.written else Outcome.UNREACHED)
 
     def finish(self, call: Call, outcome: Outcome, reply: bytes = b"") -> None:
         del self.calls[call.ident]
--- a/lichencleat/net/program.py
+++ b/lichencleat/net/program.py
@@ -46,6 +46,10 @@
         installReactor(reactor)
         node = RealNode(reactor, UnixClock(), told)
         observe(node.report)
+        node.ended.addCallback(lambda _: reactor.callLater(0, reactor.stop))
+        for told_to_leave in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(told_to_leave, lambda *_: reactor.callFromThread(node.leave))
+        signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(node.report.summary))
         node.start()
     except BadInputError as bad:
         print(f"lichencleat: {bad}", file=sys.stderr)
@@ -53,8 +57,5 @@
     except CannotListenError as bad:
         print(f"lichencleat: BALANCER_CONFIG: 'listen': {bad}", file=sys.stderr)
         return 2
-    node.ended.addCallback(lambda _: reactor.callLater(0, reactor.stop))
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(node.leave))
-    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(node.report.summary))
     reactor.run(installSignalHandlers=False)
     return 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -286,6 +286,12 @@
     assert heard == [(Outcome.OVERDUE, b"")] and b"QUIT " + ID in call.link.transport.value()
 
 
+def test_a_call_given_up_before_there_was_a_connection_never_ran(reactor, place):
+    _, heard = place(connected=False)
+    reactor.advance((SECOND + BEYOND) / SECOND + 0.01)
+    assert heard == [(Outcome.UNREACHED, b"")]
+
+
 def test_the_late_reply_to_a_call_given_up_is_not_taken_for_the_next_one(place):
     first, _ = place()
     first.ended.cancel()
