Judge slow calls by those that came back: quick refusals made all others look slow

A probe that printed what is in hand each half second showed one front with its bound on calls at 1 for nine seconds after the tier below was well again, calls_slow true all the while, while its twin went on as before. It had met 45 LATER within half a second; each took about a millisecond, filled the quick quarter of the 64 call times kept, and so every real call (80 ms) was over five times that. Ruled out: the calls themselves (all DATA, in usual time), the link, the proxy.

Wrong: calls_slow sorted the times of all calls, failed ones too. Now the times of those that came back are compared with each other; half of the last eight failed still cuts. It should also serve shared dependencies that turn calls away. Harm: none seen; a tier that refuses all but a few is judged by those few.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -56,9 +56,7 @@
 CALLS_FEW = 8  # of them tell how calls go now: fewer would mistake one long call for a crowd
 CLOGGED = 0.25  # of the longest soft limit, for the wait at a call: half of the shortest, mostly
 CALL_TRIES = 3  # of one call: further ones have cost more than the answer is worth
-CALL_PATIENCE = (
-    6  # times the median of recent calls: few usual calls are that long, and the longest earn most
-)
+CALL_PATIENCE = 6  # times the median of recent calls: few usual ones are that long, and the longest earn most
 CALL_PATIENCE_LEAST = 300_000  # µs: three wake-ups, under which a repeat gains nothing
 FAR = 3_600_000_000  # µs: longer than any limit
 CALL_PAUSE = 50_000  # µs before a call that never ran is tried again: lets the layer below take in answers
@@ -246,11 +244,13 @@
         return median([took for at, took in self.read_times if now - at <= READS_SPAN] or [0.0])
 
     def calls_slow(self) -> bool:
-        times = [took for took, _ in self.call_times]
-        if len(times) < CALLS_FEW:
-            return False
-        failed = [well for _, well in self.call_times][-CALLS_FEW:].count(False) >= CALLS_FEW / 2
-        return failed or median(times[-CALLS_FEW:]) > CALLS_SLOW * sorted(times)[len(times) // 4]
+        """Guards against quick refusals below: counted as quick calls, they made all others look slow."""
+        last = list(self.call_times)[-CALLS_FEW:]
+        good = [took for took, well in last if well]
+        if len(last) < CALLS_FEW or len(good) <= CALLS_FEW / 2:
+            return len(last) == CALLS_FEW
+        back = sorted(took for took, well in self.call_times if well)
+        return median(good) > CALLS_SLOW * back[len(back) // 4]
 
     def calls_out(self, now: int) -> int:
         """Calls that count for the bound: not those far over their time, at lost nodes of a tier."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -291,3 +291,10 @@
     node.run_times[tariff] = [SECOND] * 4
     node.sample(SECOND)
     assert node.reference == 1.0
+
+
+def test_calls_turned_away_at_once_do_not_make_the_others_look_slow(node):
+    node.call_times.extend([(80_000, True)] * 10 + [(1_000, False)] * 40 + [(90_000, True)] * 8)
+    assert not node.calls_slow()
+    node.call_times.extend([(500_000, True)] * 8)
+    assert node.calls_slow()
