--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,6 +12,7 @@
 from lichencleat.net.dispatchers import Connection, Dispatchers
 from lichencleat.net.host import Answer, Case, Host
 from lichencleat.net.interpreter import Interpreter, Link, Run
+from lichencleat.net.membership import Membership
 from lichencleat.net.receipts import READ_LATE, Receipts
 from lichencleat.net.report import LINES_MOST, Report
 from lichencleat.net.slots import Slots
@@ -213,8 +214,16 @@
     made, heard = run
     link.interpreter.runs[ID] = made
     for _ in range(2):
-        link.dataReceived(b"VALUE 1 %s PASS 2.5 2\r\nok\r\n" % ID)
-    assert heard == [(Outcome.COMPLETED, 2500, b"ok")] and not link.interpreter.runs
+        link.dataReceived(b"AWAIT 1 %s 4\r\ncall\r\n" % ID)
+    link.dataReceived(b"VALUE 2 %s PASS 2.5 2\r\nok\r\n" % ID)
+    assert heard == [(b"call",), (Outcome.COMPLETED, 2500, b"ok")] and not link.interpreter.runs
+
+
+def test_a_new_link_says_again_that_a_run_is_to_stop(link, run):
+    made, _ = run
+    link.interpreter.runs[ID], made.stopping = made, True
+    link.interpreter.renew(link)
+    assert link.transport.value() == b"BREAK " + ID + b"\r\n"
 
 
 @pytest.mark.parametrize(("written", "pure", "again"), [(True, True, 1), (True, False, 0), (False, False, 1)])
@@ -338,6 +347,25 @@
     assert not answers and case.inquiry in host.node.held
 
 
+def test_a_call_that_was_dropped_tells_the_decisions_nothing(host, case, place):
+    host.node.calling[case.inquiry] = None
+    host.call_ended(case, place()[0], Outcome.CUT, b"")
+    assert case.inquiry in host.node.calling and not host.node.call_times
+
+
+def test_a_call_given_up_spends_its_connection_for_that_inquiry(host, case, place):
+    case.call = call = place()[0]
+    host.node.calling[case.inquiry] = None
+    host.call_ended(case, call, Outcome.OVERDUE, b"")
+    assert case.spent == [call.link] and case.inquiry in host.node.asking
+
+
+def test_a_try_deferred_before_it_was_recorded_leaves_no_entry(host, case):
+    host.receipts.read(b"k", case.inquiry)
+    host.defer(Decision(Act.DEFER, case.inquiry), case)
+    assert not host.receipts.by_key and not host.receipts.by_inquiry
+
+
 def test_an_error_with_one_inquiry_fails_that_one_alone(host, case, answers, report):
     host.carries_out[Act.DEFER] = lambda decision, case: 1 / 0
     host.carry_out(Decision(Act.DEFER, case.inquiry))
@@ -363,6 +391,7 @@
     host.receipts.record(0, b"k", first, SECOND)
     host.node.running[first] = host.node.sharing[second] = None
     host.share(Decision(Act.SHARE, second), cases[1])
+    assert list(host.receipts.by_inquiry[first].sharers) == [cases[1]]
     host.run_ended(cases[0], Outcome.ERRED, 0, b"")
     assert answers == [Answer.GIVEN_UP] * 2 and not len(host.cases)
 
@@ -375,7 +404,31 @@
     assert not link.gauges and report.counts["host wake-ups without gauges"] == 1
 
 
-# --- dispatchers ---
+def test_a_sharer_whose_caller_left_waits_no_longer(host, case, receipted):
+    case.inquiry.repeats = first = Inquiry(receipted, 0, 0, started=1)
+    host.receipts.record(0, b"k", first, SECOND)
+    host.receipts.share(first, case)
+    host.caller_left(case)
+    assert not host.receipts.by_inquiry[first].sharers
+
+
+# --- dispatchers and membership ---
+
+
+def test_after_its_leave_the_node_reports_no_more(reactor, deadlines, report):
+    membership, sent = Membership("n1", ("", 0), deadlines, report), []
+    membership.transport = membership.port = Transport()
+    membership.transport.write = lambda datagram, address: sent.append(datagram)
+    membership.beat()
+    membership.leave()
+    reactor.advance(5)
+    assert sent == [b"HB n1 UP", b"HB n1 OUT"]
+
+
+def test_an_inquiry_under_an_id_in_hand_is_given_up(connection):
+    connection.dataReceived(INQUIRY % ID)
+    connection.dataReceived(INQUIRY.replace(b"$1\r\n7", b"$1\r\n8") % ID)
+    assert list(connection.cases) == [7] and b"$1\r\n8\r\n$3\r\n500" in connection.transport.value()
 
 
 def test_answers_that_nobody_reads_end_the_connection(connection, reactor):
@@ -400,7 +453,7 @@
     connection.dataReceived(INQUIRY % b"00000000000000b2")
     assert len(connection.cases) == 1 and not connection.transport.disconnecting
     connection.cases[7].reply(Answer.HONOURED, b"x", 0, False)
-    assert connection.transport.disconnecting
+    assert connection.transport.disconnecting and connection.transport.producer is None
 
 
 def test_idle_connections_are_sent_away_and_closed_but_none_with_something_open(connection, reactor):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -131,7 +131,7 @@
     assert last == [[b"0", b"goaway"], [b"1", b"500"]]  # the receipted run does not end before the stop
     peer.close()
     code, counters, _ = program.end()
-    assert code == 0 and adds_up(counters)
+    assert code == 0 and adds_up(counters) and counters["membership sent OUT"] == 1
 
 
 def test_counters_are_printed_on_a_signal(program, peer):
