--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -50,7 +50,7 @@
             self.catalogue,
             self.report,
         )
-        self.dispatchers = Dispatchers(self.host, self.deadlines, self.report, told.descriptors)
+        self.dispatchers = Dispatchers(self.host, self.deadlines, self.report, told.descriptors, told.tenants)
         self.ended: Deferred = Deferred()
         self.stop_at: int | None = None
 
@@ -59,6 +59,27 @@
         self.interpreter.start().addCallback(self.host.begin)
         self.membership.start(self.reactor, self.told.listen[0])
 
+    def reload(self, told: Told) -> None:
+        """Takes over new addresses and the time to stop; what else changed is told, as it needs a restart."""
+        moves = {
+            "interpreter": self.interpreter.move(told.interpreter),
+            "catalogue": self.catalogue.move(told.catalogue),
+            "membership": self.membership.move(told.members),
+        }
+        fixed = {
+            "name": "name",
+            "listen": "listen",
+            "seed": "seed",
+            "limits": "descriptors",
+            "settings": "mark",
+        }
+        waits = [key for key, name in fixed.items() if getattr(told, name) != getattr(self.told, name)]
+        self.told.stop_after = told.stop_after
+        self.report.count("node", "configurations read")
+        moved = ", ".join(name for name, did in moves.items() if did) or "nothing"
+        late = f"; {', '.join(waits)} changed, which needs a restart" if waits else ""
+        self.report.note(f"configuration read again: {moved} moved{late}")
+
     def leave(self) -> None:
         """The notice to leave: only the first one counts."""
         if self.stop_at is None:
--- a/lichencleat/net/catalogue.py
+++ b/lichencleat/net/catalogue.py
@@ -1,7 +1,11 @@
-"""Calls below, over connections that carry many: each call is a Deferred that fires once with its outcome."""
+"""Calls below, each on a connection of its own while it lasts: a Deferred that fires once with its outcome.
+
+One spoilt reply, or one broken connection, so ends one call; past the bound on connections calls share them.
+"""
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -13,7 +17,11 @@
 from lichencleat.net.report import Report
 from lichencleat.terms import Outcome
 
-IDLE = 7_000_000  # µs: given up before the other side does at 10 s, so that no call crosses its close
+IDLE = 500_000  # µs: one left idle for longer may be forgotten by the other side, and the next call be lost
+LINKS_MOST = 48  # connections, busy ones included: an eighth of the least descriptors; more calls share them
+REST_WAIT = 500_000  # µs for the rest of a reply that has begun: it comes in one piece from the same machine
+HEX = frozenset(b"0123456789abcdefABCDEF")
+IDENT = 16  # digits of an id
 BEYOND = 200_000  # µs past a call's stated time before a silent proxy is no longer waited for
 CONNECT_WAIT = 2_000_000  # µs for a connection to a proxy on the same machine
 OUTCOMES = {
@@ -35,12 +43,23 @@
         self.written = False
 
 
+def has_body(words: list[bytes]) -> bool:
+    """Guards against taking noise for a reply: after what is none, nothing on that connection can be read."""
+    if len(words) >= 2 and len(words[0]) == IDENT and HEX.issuperset(words[0]):
+        if words[1] == b"DATA" and len(words) == 3:
+            return True
+        if words[1] in OUTCOMES and words[1] != b"DATA" and len(words) == 2:
+            return False
+    raise BrokenFramingError(f"no reply: {b' '.join(words)[:60]!r}")
+
+
 class Link(Protocol):
     """Owns the calls on one connection; each is given back in `finish` alone."""
 
     def __init__(self, catalogue: Catalogue) -> None:
         self.catalogue = catalogue
-        self.reader = LineReader(lambda words: len(words) == 3)
+        self.reader = LineReader(has_body)
+        self.rest_by: Deadline | None = None
         self.calls: dict[bytes, Call] = {}
         self.idle: Deadline | None = None
         self.reached_by: Deadline | None = None
@@ -71,6 +90,8 @@
             if call.written and self.transport is not None:
                 self.transport.writeSequence(line(b"QUIT", call.ident))
                 self.catalogue.report.count("catalogue", "sent QUIT")
+            if outcome is Outcome.OVERDUE:
+                self.catalogue.drop(self)  # silent past the time that it was told: not trusted with another
             self.finish(call, outcome if call.written else Outcome.UNREACHED)
 
     def finish(self, call: Call, outcome: Outcome, reply: bytes = b"") -> None:
@@ -82,7 +103,11 @@
     def rest(self) -> None:
         self.catalogue.deadlines.cancel(self.idle)
         if not self.calls and self.transport is not None:
-            self.idle = self.catalogue.deadlines.after(IDLE, self.close)
+            if self in self.catalogue.links:
+                self.catalogue.links.move_to_end(self)
+                self.idle = self.catalogue.deadlines.after(IDLE, self.close)
+            else:
+                self.close()
 
     def close(self) -> None:
         self.catalogue.drop(self)
@@ -93,27 +118,31 @@
         try:
             for words, body in self.reader.feed(data):
                 self.take(words, body)
+            self.catalogue.deadlines.cancel(self.rest_by)
+            if self.reader.begun():
+                self.rest_by = self.catalogue.deadlines.after(REST_WAIT, self.give_up, "a reply without end")
         except BrokenFramingError as broken:
-            self.catalogue.report.count("catalogue", "broken framing")
-            self.catalogue.report.note(f"catalogue: {broken}; the connection is given up")
-            self.catalogue.drop(self)
-            self.transport.abortConnection()
+            self.give_up(str(broken))
         except Exception:
             self.catalogue.report.trouble("a reply to a call")
 
+    def give_up(self, why: str) -> None:
+        """Nothing more can be read here: all its calls end now, with what a lost connection proves."""
+        self.catalogue.report.count("catalogue", "connections given up")
+        self.catalogue.report.note(f"catalogue: {why}; the connection is given up")
+        transport = self.transport
+        self.lost()
+        if transport is not None:
+            transport.abortConnection()
+
     def take(self, words: list[bytes], body: bytes) -> None:
         report = self.catalogue.report
-        word = words[1] if len(words) > 1 else b""
-        if word not in OUTCOMES:
-            report.count("catalogue", "replies unknown")
-            report.note(f"catalogue: unknown reply {b' '.join(words)[:80]!r}")
-            return
-        report.count("catalogue", "got " + word.decode())
+        report.count("catalogue", "got " + words[1].decode())
         call = self.calls.get(words[0])
         if call is None:
             report.count("catalogue", "replies to no call")
             return
-        self.finish(call, OUTCOMES[word], body)
+        self.finish(call, OUTCOMES[words[1]], body)
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
         self.lost()
@@ -123,6 +152,7 @@
         self.catalogue.drop(self)
         self.transport = None
         self.catalogue.deadlines.cancel(self.idle)
+        self.catalogue.deadlines.cancel(self.rest_by)
         for call in list(self.calls.values()):
             self.finish(call, Outcome.CUT if call.written else Outcome.UNREACHED)
 
@@ -150,26 +180,38 @@
     ) -> None:
         self.reactor, self.address = reactor, address
         self.deadlines, self.report = deadlines, report
-        self.links: list[Link] = []  # those that take calls
+        self.links: OrderedDict[Link, None] = OrderedDict()  # those that take calls, the last used at the end
 
     def fetch(self, ident: bytes, span: int, body: bytes, spent: list[Link]) -> Call:
-        """Places a call; not on a connection where one of the same inquiry was given up.
+        """Places a call; not on a connection that carried one of the same inquiry.
 
-        Guards against taking the late reply to that one for the reply to this one.
+        Guards against taking a late or a second reply to that one for the reply to this one.
         """
-        link = next((each for each in self.links if each not in spent and ident not in each.calls), None)
+        fit = [each for each in reversed(self.links) if each not in spent and ident not in each.calls]
+        link = next((each for each in fit if not each.calls), None)
+        if link is None and fit and len(self.links) >= LINKS_MOST:
+            link = min(fit, key=lambda each: len(each.calls))
         if link is None:
             link = Link(self)
-            self.links.append(link)
+            self.links[link] = None
             connector = self.reactor.connectTCP(*self.address, Connecting(link), timeout=None)
             link.reached_by = self.deadlines.after(CONNECT_WAIT, connector.stopConnecting)
         call = Call(ident, link, span, body)
         link.place(call)
         return call
 
+    def move(self, address: tuple[str, int] | None) -> bool:
+        """A new address takes the calls from now on; those under way end where they are."""
+        if address == self.address or address is None:
+            return False
+        self.address = address
+        for link in list(self.links):
+            self.drop(link)
+            link.rest()
+        return True
+
     def drop(self, link: Link) -> None:
-        if link in self.links:
-            self.links.remove(link)
+        self.links.pop(link, None)
 
     def stop(self) -> None:
         for link in list(self.links):
--- a/lichencleat/net/config.py
+++ b/lichencleat/net/config.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
+from zlib import crc32
 
 from lichencleat.machine import BadInputError, decode_gauges, decode_machine
 from lichencleat.terms import Machine
@@ -25,6 +26,8 @@
     descriptors: int
     machine: Machine
     gauges: list[str | None]
+    tenants: frozenset[bytes]  # empty at a site without them
+    mark: int  # of the settings, to see whether they change
 
 
 def read_told(environment: Mapping[str, str]) -> Told:
@@ -34,7 +37,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
-    except (OSError, ValueError) as wrong:
+    except (OSError, ValueError, RecursionError) as wrong:
         raise BadInputError(f"BALANCER_CONFIG: {wrong}") from wrong
     if not isinstance(told, dict):
         raise BadInputError("BALANCER_CONFIG: not a JSON object")
@@ -52,6 +55,8 @@
         descriptors=field(limits, "sockets", int),
         machine=machine(settings),
         gauges=decode_gauges(settings),
+        tenants=tenants(settings),
+        mark=crc32(json.dumps(settings, sort_keys=True).encode()),
     )
 
 
@@ -60,7 +65,7 @@
     if (
         not isinstance(value, kind)
         or isinstance(value, bool)
-        or (isinstance(value, int | float) and value < 0)
+        or (isinstance(value, int | float) and not 0 <= value < float("inf"))
     ):
         raise BadInputError(f"BALANCER_CONFIG: {key!r} is missing or wrong: {value!r:.60}")
     return value
@@ -68,15 +73,22 @@
 
 def address(told: dict, key: str) -> tuple[str, int]:
     host, _, port = field(told, key, str).rpartition(":")
-    if not host or not port.isdigit() or int(port) > PORT_MOST:
+    if not host or not port.isdecimal() or len(port) > 5 or int(port) > PORT_MOST:
         raise BadInputError(f"BALANCER_CONFIG: {key!r} is no address: {told[key]!r:.60}")
     return host, int(port)
 
 
+def tenants(settings: dict) -> frozenset[bytes]:
+    try:
+        return frozenset(each["name"].encode() for each in settings.get("orgs") or [])
+    except (KeyError, TypeError, AttributeError) as wrong:
+        raise BadInputError(f"BALANCER_CONFIG: 'settings': 'orgs': {wrong!r:.200}") from wrong
+
+
 def machine(settings: dict) -> Machine:
     try:
         decoded = decode_machine(settings)
-    except (BadInputError, KeyError, TypeError, ValueError, AttributeError) as wrong:
+    except (BadInputError, KeyError, TypeError, ValueError, AttributeError, OverflowError) as wrong:
         raise BadInputError(f"BALANCER_CONFIG: 'settings': {wrong!r:.200}") from wrong
     if not decoded.tariffs or any(each.hard_limit <= 0 for each in decoded.tariffs):
         raise BadInputError("BALANCER_CONFIG: 'settings': no classes, or one without its deadline")
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from functools import partial
-from math import isfinite
+from hashlib import blake2b
 from typing import Any
 
 from twisted.internet.protocol import Factory, Protocol, connectionDone
@@ -17,9 +18,30 @@
 from lichencleat.terms import Effect, Inquiry
 
 BODY_MOST = 2_048  # bytes, by the protocol
-RESERVE = 64  # descriptors kept for the listener, interpreter, catalogue, members and the process itself
+OPEN_MOST = 32  # inquiries open on one connection, by the protocol
+BAD_MOST = 4  # unusable arrays on one connection: more is no slip, and each costs as much as a good one
+TAG_DIGITS = 18  # of a tag: more than any connection has arrays
+FIRST_WAIT = 1_500_000  # µs from connecting to a whole array: half of what is owed to those who send none
+REST_WAIT = 1_000_000  # µs for the rest of an array that has begun: they are written in one piece
+AHEAD_MOST = 1_000_000  # µs that an arrival may lie ahead of our clock, which is the same machine's
+BEHIND_MOST = 10_000_000  # µs past its hard limit that one may be read, by a machine that paused
+HINT_MOST = 60_000.0  # ms of work that a caller may expect: ten times the longest wait for an answer
+SIZE_MOST = 2_000.0  # KB booked for an inquiry, by the protocol
+RESERVE = 96  # descriptors kept for the listener, interpreter, catalogue, members and the process itself
+CROWDED = 0.75  # of the connections: from there on those at rest are asked to go
+REST_LEAST = 1_000_000  # µs without traffic before that: a caller that comes back mostly does so sooner
 UNREAD_LONG = 10_000_000  # µs that a caller may leave answers unread: longer than any inquiry waits
 CLOSE_AFTER = 300_000  # µs after goaway by which an unused connection is closed from here: what crossed is in
+FORMS = {  # of the fields, by the protocol: nothing that merely converts
+    b"i": re.compile(rb"[0-9a-fA-F]{16}"),
+    b"s": re.compile(rb"[0-9]{1,15}"),
+    b"f": re.compile(rb"[0-9]{1,9}"),
+    b"h": re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"),
+    b"m": re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"),
+    b"p": re.compile(rb"0(\.[0-9]{1,9})?"),
+    b"k": re.compile(rb"[0-9a-fA-F]{32}"),
+    b"r": re.compile(rb"1"),
+}
 WORDS = {Answer.HONOURED: b"200", Answer.DEFERRED: b"503", Answer.GIVEN_UP: b"500"}
 
 
@@ -27,11 +49,17 @@
     """An array that is none; its text says what is wrong."""
 
 
-def amount(said: dict[bytes, bytes], name: bytes) -> float:
-    value = float(said.get(name, 0))
-    if not isfinite(value) or value < 0:
-        raise ValueError(f"no amount: {value}")
-    return value
+def fields(text: bytes) -> dict[bytes, bytes]:
+    """Guards the decisions against figures that none means: each field once, in its form."""
+    pairs = [each.split(b"=", 1) for each in text.split(b",")]
+    said = dict(pairs)
+    if len(said) < len(pairs):
+        raise ValueError("a field comes twice")
+    for name, value in said.items():
+        form = FORMS.get(name)
+        if form is not None and not form.fullmatch(value):
+            raise ValueError(f"{name!r} reads {value[:40]!r}")
+    return said
 
 
 class Connection(Protocol):
@@ -44,6 +72,8 @@
         self.number = -1
         self.last_traffic = 0
         self.checks_only = True
+        self.bad = 0  # unusable arrays
+        self.whole_by: Deadline | None = None  # the array under way, or the first one
         self.going = False  # goaway was sent
         self.closing = False  # nothing more is read from it
         self.unread: Deadline | None = None
@@ -55,10 +85,14 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         self.last_traffic = self.door.deadlines.now()
+        self.door.strangers[self] = None
+        self.whole_by = self.door.deadlines.after(FIRST_WAIT, self.refuse_all, "nothing whole came in time")
         self.watch_idle()
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
         self.door.connections.give_back(self.number)
+        self.door.strangers.pop(self, None)
+        self.door.deadlines.cancel(self.whole_by)
         self.door.deadlines.cancel(self.unread)
         self.door.deadlines.cancel(self.idle)
         self.closing = True
@@ -86,6 +120,7 @@
 
     def abort(self, why: str) -> None:
         self.door.report.count("dispatchers", f"aborted: {why}")
+        self.closing = True
         self.transport.abortConnection()
 
     # --- what comes ---
@@ -94,18 +129,27 @@
         self.last_traffic = self.door.deadlines.now()
         if self.closing:
             return
+        came = False
         try:
             for words in self.reader.feed(data):
+                came = True
                 self.take(words)
                 if self.closing:
                     return
         except BrokenFramingError as broken:
             self.refuse_all(str(broken))
+            return
+        if came:
+            self.door.strangers.pop(self, None)
+            self.door.deadlines.cancel(self.whole_by)
+            self.whole_by = None
+        if self.whole_by is None and self.reader.begun():
+            self.whole_by = self.door.deadlines.after(REST_WAIT, self.refuse_all, "an array came without end")
 
     def take(self, words: list[bytes]) -> None:
         """Guards the node against one bad array: it is answered by its tag, or ends its connection."""
         report = self.door.report
-        tag = int(words[1]) if len(words) > 1 and words[1].isdigit() else 0
+        tag = int(words[1]) if len(words) > 1 and words[1].isdigit() and len(words[1]) <= TAG_DIGITS else 0
         if tag < 1 or (tag in self.cases and words[0] != b"ABORT"):
             self.refuse_all(f"tag missing or used: {words[0][:20]!r}")
             return
@@ -128,6 +172,9 @@
             report.count("dispatchers", "unusable arrays")
             report.note(f"dispatchers: {bad}")
             self.send(tag, WORDS[Answer.GIVEN_UP], self.said(), b"")
+            self.bad += 1
+            if self.bad >= BAD_MOST:
+                self.refuse_all("too many unusable arrays")
         except Exception:
             report.trouble("reading an inquiry")
             if tag in self.cases:
@@ -143,24 +190,34 @@
         tariff = host.tariffs.get(words[2])
         if tariff is None or len(body) > BODY_MOST:
             raise BadInquiryError(f"tariff {words[2][:40]!r}, body of {len(body)} bytes")
+        if len(self.cases) >= OPEN_MOST:
+            raise BadInquiryError("more open than a connection carries")
         now = host.clock()
         try:
-            said = dict(each.split(b"=", 1) for each in words[3].split(b","))
-            ident, arrived = said[b"i"], min(int(said[b"s"]) * 1000, now)
-            key = said[b"k"] if tariff.effect is Effect.RECEIPTED else b""
-            if len(ident) != 16 or int(ident, 16) < 0 or ident in host.idents:
-                raise ValueError("an id has 16 digits and is new")
+            said = fields(words[3])
+            ident, came = said[b"i"], int(said[b"s"]) * 1000
+            arrived, size_kb, cost_ms = min(came, now), float(said[b"m"]), float(said.get(b"h", 0))
+            if self.door.tenants and said[b"t"] not in self.door.tenants:
+                raise ValueError("no such tenant")
+            if not now - BEHIND_MOST - tariff.hard_limit <= came <= now + AHEAD_MOST:
+                raise ValueError("not of this time")
+            if not 0 < size_kb < SIZE_MOST or cost_ms > HINT_MOST or ident in host.idents:
+                raise ValueError("a figure out of range, or an id in hand")
             inquiry = Inquiry(
                 tariff=tariff,
                 arrived=arrived,
                 due=max(arrived + tariff.hard_limit, now),
-                place=amount(said, b"p"),
-                caller=int(said.get(b"f", 0)),
-                further_try=said.get(b"r") == b"1",
-                cost=int(amount(said, b"h") * 1000),
-                size_kb=amount(said, b"m"),
+                place=float(said[b"p"]),
+                caller=int(said[b"f"]),
+                further_try=b"r" in said,
+                cost=int(cost_ms * 1000),
+                size_kb=size_kb,
             )
-        except (KeyError, ValueError, OverflowError) as wrong:
+            key = b""
+            if tariff.effect is Effect.RECEIPTED:
+                # Guards against the key of another: tries of one inquiry have its tariff and body as well.
+                key = said[b"k"] + blake2b(words[2] + b" " + body, digest_size=16).digest()
+        except (KeyError, ValueError) as wrong:
             raise BadInquiryError(f"fields {words[3][:120]!r}: {wrong!r}") from wrong
         case = Case(inquiry, ident, body, key, partial(self.answer, tag))
         self.cases[tag] = case
@@ -168,9 +225,12 @@
 
     def refuse_all(self, why: str) -> None:
         """What follows can't be read: the connection ends once what is open on it has its answers."""
+        if self.closing:
+            return
         self.door.report.count("dispatchers", "broken framing")
         self.door.report.note(f"dispatchers: {why}; the connection is closed")
         self.closing = True
+        self.transport.pauseProducing()
         self.end_if_done()
 
     # --- what goes ---
@@ -201,6 +261,8 @@
     def lose(self) -> None:
         """Guards against a connection that never ends: one with a producer waits for it to go on."""
         self.transport.unregisterProducer()
+        self.door.deadlines.cancel(self.unread)
+        self.unread = self.door.deadlines.after(UNREAD_LONG, self.abort, "answers left unread")
         self.transport.loseConnection()
 
     # --- idle connections ---
@@ -239,11 +301,20 @@
 class Dispatchers(Factory):
     noisy = False
 
-    def __init__(self, host: Host, deadlines: Deadlines, report: Report, descriptors: int) -> None:
+    def __init__(
+        self,
+        host: Host,
+        deadlines: Deadlines,
+        report: Report,
+        descriptors: int,
+        tenants: frozenset[bytes] = frozenset(),
+    ) -> None:
         self.host, self.deadlines, self.report = host, deadlines, report
+        self.tenants = tenants
         self.most = max(1, descriptors - RESERVE)
         self.connections: Slots[Connection] = Slots()
-        self.idle_span = 0
+        self.strangers: dict[Connection, None] = {}  # those of whom nothing whole has come, oldest first
+        self.idle_span = host.machine.connections_idle  # until the decisions say otherwise
         self.port: Any = None
         host.doors.append(self)
 
@@ -251,12 +322,31 @@
         self.port = reactor.listenTCP(address[1], self, backlog=1024, interface=address[0])
 
     def buildProtocol(self, addr: Any) -> Connection | None:
-        """Guards the descriptors: a connection too many is closed at once."""
+        """Guards the descriptors: where many are open, the one longest at rest is asked to go, checks too.
+
+        At the bound the oldest that said nothing is cut off, or the longest at rest. Harm: a caller that is
+        slow to send its first array may be cut off; nothing of it was read.
+        """
+        if len(self.connections) >= CROWDED * self.most and (resting := self.longest_at_rest()):
+            resting.go_away()
         if len(self.connections) >= self.most:
-            self.report.count("dispatchers", "connections too many")
-            return None
+            oldest = next(iter(self.strangers), None) or self.longest_at_rest()
+            if oldest is None:
+                self.report.count("dispatchers", "connections too many")
+                return None
+            self.strangers.pop(oldest, None)
+            oldest.abort("room for others")
         return Connection(self)
 
+    def longest_at_rest(self) -> Connection | None:
+        before = self.deadlines.now() - REST_LEAST
+        resting = [
+            each
+            for each in self.connections
+            if each.last_traffic < before and not (each.cases or each.going or each.closing)
+        ]
+        return min(resting, key=lambda each: each.last_traffic, default=None)
+
     def close_idle(self, span: int) -> None:
         self.idle_span = span
         for connection in self.connections:
--- a/lichencleat/net/framing.py
+++ b/lichencleat/net/framing.py
@@ -27,6 +27,10 @@
             del self.buffer[: self.at]
             self.at = 0
 
+    def begun(self) -> bool:
+        """Is a message under way that is not all there?"""
+        return self.at < len(self.buffer)
+
     def step(self) -> Message | None:
         """The next message, or None where it is not all there yet."""
         raise NotImplementedError
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -46,7 +46,7 @@
         self.run: Run | None = None
         self.call: Call | None = None
         self.call_body = b""
-        self.spent: list[Any] = []  # connections on which a call of it was given up
+        self.spent: list[Any] = []  # connections that carried a call of it
 
 
 class Door(Protocol):
@@ -148,6 +148,8 @@
         self.drop_call(case)
         if outcome in (Outcome.STOPPED, Outcome.VOID) and not (run and run.stopping):
             self.node.caller_left(now, inquiry)  # it ends by itself only where nobody waits any more
+        if outcome is Outcome.UNREACHED:
+            inquiry.started = None  # proved: a repeat of it may run
         self.node.run_ended(now, inquiry, outcome, took)
         well = outcome is Outcome.COMPLETED
         if well:
@@ -163,8 +165,6 @@
         if case.call is not call:
             return
         case.call = None
-        if outcome in (Outcome.OVERDUE, Outcome.CUT):
-            case.spent.append(call.link)
         now = self.clock()
         if outcome is Outcome.COMPLETED and case.run is not None:
             self.interpreter.resolve(case.run, reply)
@@ -278,6 +278,7 @@
 
     def place_call(self, decision: Decision, case: Case) -> None:
         case.call = self.catalogue.fetch(case.ident, decision.span, case.call_body, case.spent)
+        case.spent.append(case.call.link)
         case.call.ended.addCallback(
             lambda ended, call: self.tend(case, self.call_ended, call, *ended), case.call
         )
--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -14,8 +14,11 @@
 from lichencleat.net.report import Report
 from lichencleat.terms import Outcome
 
-AGAIN = 200_000  # µs before a lost link is renewed: well under any limit, and no burden on the interpreter
-CONNECT_WAIT = 2_000_000  # µs for a connection on the same machine
+AGAIN = 50_000  # µs after a try to connect that failed: a lost link itself is renewed at once
+CONNECT_WAIT = 1_000_000  # µs for a connection on the same machine
+MAYBE_LOST = 100_000  # µs: twice what a link that breaks may take along of the commands written before
+REPLACED_STAYS = 2_000_000  # µs that a replaced link may stay open: the other side ends it after 1.5 s
+KINDS = (b"VALUE", b"AWAIT", b"TRACE", b"TOPS", b"BANNER", b"ERROR")
 OUTCOMES = {
     b"PASS": Outcome.COMPLETED,
     b"FAIL": Outcome.ERRED,
@@ -28,7 +31,7 @@
 class Run:
     """One run: who hears of it, and the last command about it that no notice has confirmed."""
 
-    __slots__ = ("ident", "waits", "ended", "command", "written", "harmless", "stopping")
+    __slots__ = ("ident", "waits", "ended", "command", "written", "written_at", "pure", "begun", "stopping")
 
     def __init__(
         self,
@@ -39,7 +42,9 @@
         self.ident, self.waits, self.ended = ident, waits, ended
         self.command: list[bytes] = []
         self.written = False
-        self.harmless = False  # to say the command again
+        self.written_at = 0
+        self.pure = False
+        self.begun = False  # a notice told of it
         self.stopping = False
 
 
@@ -76,9 +81,23 @@
         self.interpreter.link_lost(self)
 
 
-class Interpreter(ClientFactory):
+class Connecting(ClientFactory):
+    """One try to connect; a later one makes it void."""
+
     noisy = False
 
+    def __init__(self, interpreter: Interpreter) -> None:
+        self.interpreter = interpreter
+
+    def buildProtocol(self, addr: Any) -> Link | None:
+        return self.interpreter.reached() if self is self.interpreter.connecting else None
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        if self is self.interpreter.connecting:
+            self.interpreter.unreached()
+
+
+class Interpreter:
     def __init__(self, reactor: Any, address: tuple[str, int], deadlines: Deadlines, report: Report) -> None:
         self.reactor, self.address = reactor, address
         self.deadlines, self.report = deadlines, report
@@ -87,7 +106,10 @@
         self.link: Link | None = None
         self.up: Deferred | None = Deferred()  # fires once: is it cold
         self.closed = False
+        self.lost_at: int | None = None  # the first link to break since commands were last known to arrive
+        self.connecting: Connecting | None = None
         self.reached_by: Deadline | None = None
+        self.again: Deadline | None = None
 
     # --- the link ---
 
@@ -97,26 +119,51 @@
 
     def connect(self) -> None:
         if not self.closed:
-            connector = self.reactor.connectTCP(*self.address, self, timeout=None)
+            self.deadlines.cancel(self.again)
+            self.deadlines.cancel(self.reached_by)
+            self.connecting = Connecting(self)
+            connector = self.reactor.connectTCP(*self.address, self.connecting, timeout=None)
             self.reached_by = self.deadlines.after(CONNECT_WAIT, connector.stopConnecting)
 
-    def buildProtocol(self, addr: Any) -> Link:
+    def reached(self) -> Link:
+        """A new link replaces the one before, on which nothing is written from now on.
+
+        Guards against losing what was written there last: to close it with notices unread would reset it.
+        """
         self.deadlines.cancel(self.reached_by)
-        self.link = Link(self)
+        self.connecting = None
+        replaced, self.link = self.link, Link(self)
+        if replaced is not None:
+            self.deadlines.after(REPLACED_STAYS, replaced.transport.abortConnection)
         return self.link
 
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+    def unreached(self) -> None:
         self.deadlines.cancel(self.reached_by)
+        self.connecting = None
         self.report.count("interpreter", "connections failed")
-        self.deadlines.after(AGAIN, self.connect)
+        self.again = self.deadlines.after(AGAIN, self.connect)
+
+    def move(self, address: tuple[str, int]) -> bool:
+        """A new address: the link there replaces the one that is open, and whatever try is under way."""
+        if address == self.address:
+            return False
+        self.address = address
+        if not self.closed:
+            self.connect()
+        return True
 
     def link_lost(self, link: Link) -> None:
-        if link is self.link:
-            self.link = None
+        """Guards the runs against waiting: a lost link is renewed at once, unless that is under way."""
+        if link is not self.link:
+            return
+        self.link = None
+        if self.lost_at is None:
+            self.lost_at = self.deadlines.now()
         if not self.closed:
             self.report.count("interpreter", "links lost")
-            self.report.note("interpreter: link lost, renewed soon")
-            self.deadlines.after(AGAIN, self.connect)
+            self.report.note("interpreter: link lost, renewed at once")
+            if self.connecting is None:
+                self.connect()
 
     def stop(self) -> None:
         self.closed = True
@@ -127,11 +174,10 @@
 
     def apply(self, run: Run, tariff: bytes, body: bytes, pure: bool) -> None:
         self.runs[run.ident] = run
-        run.harmless = pure
+        run.pure = pure
         self.command(run, line_with_body(b"APPLY", run.ident, tariff, body=body))
 
     def resolve(self, run: Run, reply: bytes) -> None:
-        run.harmless = False
         self.command(run, line_with_body(b"RESOLVE", run.ident, body=reply))
 
     def halt(self, run: Run) -> None:
@@ -142,6 +188,7 @@
     def command(self, run: Run, command: list[bytes]) -> None:
         run.command = command
         run.written = self.link is not None and self.link.ready
+        run.written_at = self.deadlines.now()
         if run.written:
             self.write(self.link, command)
 
@@ -153,13 +200,21 @@
         """Says again what the lost link may have swallowed, once all notices that it missed were read.
 
         Guards the rule on effects: a command may have been carried out since, and its run be over or at its
-        next call. So only what was never written is said again, and the beginning of pure runs.
+        next call. So what was never written is said again, and the beginning of pure runs, which does nothing
+        where they run. A pure run whose reply may be lost with the link is stopped, which is told as such: a
+        second reply might meet its next call. Harm: half of those that are stopped had their reply.
         """
         link.ready = True
+        now, lost_at, self.lost_at = self.deadlines.now(), self.lost_at, None
         for run in self.runs.values():
-            if run.command and (not run.written or run.harmless):
-                run.written = True
+            if run.command and not run.written:
+                run.written, run.written_at = True, now
+                self.write(link, run.command)
+            elif run.command and run.pure and not run.begun:
                 self.write(link, run.command)
+            elif run.command and run.pure and lost_at is not None and run.written_at > lost_at - MAYBE_LOST:
+                self.report.count("interpreter", "runs stopped as their reply may be lost")
+                run.stopping = True
             if run.stopping:
                 self.write(link, line(b"BREAK", run.ident))
 
@@ -184,7 +239,7 @@
                     self.report.count("interpreter", "notices come again")
                     return
                 self.last_notice = number
-            self.report.count("interpreter", "got " + kind.decode("ascii", "replace")[:16])
+            self.report.count("interpreter", "got " + (kind.decode() if kind in KINDS else "unknown notices"))
             if kind == b"VALUE":
                 self.over(words[2], words[3], float(words[4]), body)
             elif kind == b"AWAIT":
@@ -205,7 +260,7 @@
 
     def banner(self, link: Link, state: bytes, age_ms: float) -> None:
         self.report.note(f"interpreter: {state.decode('ascii', 'replace')}, up for {age_ms:.0f} ms")
-        self.report.count("interpreter", "banner " + state.decode("ascii", "replace")[:16])
+        self.report.count("interpreter", "banners")
         link.ask_gauges(b"sync").addCallback(lambda got: got is not None and self.renew(link))
         if self.up is not None:
             self.up, up = None, self.up
@@ -221,7 +276,7 @@
         if run is None:
             self.report.count("interpreter", "notices of no run")
             return
-        run.command = []
+        run.command, run.begun = [], True
         run.waits(body)
 
     def over(self, ident: bytes, end: bytes, took_ms: float, result: bytes) -> None:
@@ -235,8 +290,9 @@
         run.ended(OUTCOMES[end], int(took_ms * 1000), result)
 
     def erred(self, words: list[bytes]) -> None:
-        """A command that was not carried out; one to begin a run means that there is none."""
+        """A command that was not carried out; one to begin a run proves that there is none."""
         self.report.note(f"interpreter: {b' '.join(words)[:80].decode('ascii', 'replace')}")
-        run = self.runs.pop(words[2], None) if words[1] == b"APPLY" else None
-        if run is not None:
-            run.ended(Outcome.ERRED, 0, b"")
+        run = self.runs.get(words[2]) if words[1] == b"APPLY" else None
+        if run is not None and not run.begun:
+            del self.runs[run.ident]
+            run.ended(Outcome.UNREACHED, 0, b"")
--- a/lichencleat/net/lines.py
+++ b/lichencleat/net/lines.py
@@ -7,7 +7,8 @@
 from lichencleat.net.framing import BrokenFramingError, Reader
 
 LINE_MOST = 1_024  # bytes: the longest line has a few words and a remark
-BODY_MOST = 1_048_576  # bytes: far over any body or result
+LENGTH_MOST = 9  # digits of a length
+BODY_MOST = 65_536  # bytes: far over any body or result, and small against the memory times connections
 
 
 class LineReader(Reader[tuple[list[bytes], bytes]]):
@@ -18,6 +19,9 @@
         self.has_body = has_body
         self.words: list[bytes] | None = None  # of the line that waits for its body
 
+    def begun(self) -> bool:
+        return self.words is not None or super().begun()
+
     def step(self) -> tuple[list[bytes], bytes] | None:
         if self.words is None:
             end = self.line_end(LINE_MOST)
@@ -27,7 +31,7 @@
             self.at = end + 2
             if not self.has_body(words):
                 return words, b""
-            if not words[-1].isdigit() or int(words[-1]) > BODY_MOST:
+            if not words[-1].isdigit() or len(words[-1]) > LENGTH_MOST or int(words[-1]) > BODY_MOST:
                 raise BrokenFramingError(f"a length reads {words[-1]!r}")
             self.words = words
         body = self.counted(self.at, int(self.words[-1]))
--- a/lichencleat/net/membership.py
+++ b/lichencleat/net/membership.py
@@ -9,7 +9,7 @@
 from lichencleat.net.deadlines import Deadline, Deadlines
 from lichencleat.net.report import Report
 
-BEAT = 800_000  # µs between reports: three may be lost before the service forgets the node
+BEAT = 200_000  # µs between reports: with one in four lost, 14 in a row (3 s) are, once in 200 million
 
 
 class Membership(DatagramProtocol):
@@ -31,6 +31,16 @@
         self.next = self.deadlines.after(BEAT, self.beat)
         self.send("UP")
 
+    def move(self, service: tuple[str, int]) -> bool:
+        """The service has a new address: it hears of the node at once, unless that is leaving."""
+        if service == self.service:
+            return False
+        self.service = service
+        if self.next is not None and self.next.call is not None:
+            self.deadlines.cancel(self.next)
+            self.beat()
+        return True
+
     def leave(self) -> None:
         """Says so once and is silent from then on: a report of any kind would keep the node listed."""
         self.deadlines.cancel(self.next)
--- a/lichencleat/net/program.py
+++ b/lichencleat/net/program.py
@@ -39,11 +39,21 @@
     globalLogBeginner.beginLoggingTo([log], redirectStandardIO=False, discardBuffer=True)
 
 
+def reload(node: RealNode) -> None:
+    """Guards against a file that is missing, half written or wrong: the one before stays in force."""
+    try:
+        node.reload(read_told(os.environ))
+    except BadInputError as bad:
+        node.report.count("node", "configurations refused")
+        node.report.note(f"{bad}; the one before stays in force")
+
+
 def main() -> int:
+    reactor = Reactor()
+    installReactor(reactor)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: reload(node)))
     try:
         told = read_told(os.environ)
-        reactor = Reactor()
-        installReactor(reactor)
         node = RealNode(reactor, UnixClock(), told)
         observe(node.report)
         node.ended.addCallback(lambda _: reactor.callLater(0, reactor.stop))
--- a/lichencleat/net/resp.py
+++ b/lichencleat/net/resp.py
@@ -4,8 +4,8 @@
 
 from lichencleat.net.framing import BrokenFramingError, Reader
 
-WORDS_MOST = 16  # in an array: three times what the longest message has
-WORD_MOST = 65_536  # bytes: far over a body, so that one too long can still be answered by its tag
+WORDS_MOST = 8  # in an array: half as many again as the longest message has
+WORD_MOST = 4_096  # bytes: twice a body, so that one a little too long can still be answered by its tag
 HEAD_MOST = 16  # bytes of a head: its sign and as many digits as any length in bounds
 
 
@@ -15,6 +15,9 @@
         self.wanted = 0  # words that the array under way lacks
         self.words: list[bytes] = []
 
+    def begun(self) -> bool:
+        return self.wanted > 0 or super().begun()
+
     def step(self) -> list[bytes] | None:
         if not self.wanted:
             end = self.line_end(HEAD_MOST)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -158,24 +158,20 @@
     """The program, started as `run` in deploy/balancer.toml does, with a stand-in for each peer."""
 
     def __init__(self, folder, **changes):
-        self.interpreter, self.catalogue = Interpreter(), Catalogue()
-        self.members = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.members.bind(("127.0.0.1", 0))
-        self.members.settimeout(PATIENCE)
+        peers = self.stand_in()
         with listener() as free:
             self.address = free.getsockname()
         told = {
             "name": "n1",
             "listen": "{}:{}".format(*self.address),
-            "vm": where(self.interpreter.listener),
-            "members": where(self.members),
-            "catalog": where(self.catalogue.listener),
             "seed": "5",
             "stop_ms": 3000,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
             "settings": SETTINGS,
         }
+        told.update(peers)
         told.update(changes)
+        self.told = told
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(told))
         self.process = subprocess.Popen(
@@ -187,6 +183,26 @@
         )
         self.tries = 0
 
+    def stand_in(self):
+        """A stand-in for each peer, and where it is."""
+        self.interpreter, self.catalogue = Interpreter(), Catalogue()
+        self.members = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.members.bind(("127.0.0.1", 0))
+        self.members.settimeout(PATIENCE)
+        return {
+            "vm": where(self.interpreter.listener),
+            "members": where(self.members),
+            "catalog": where(self.catalogue.listener),
+        }
+
+    def move(self):
+        """New stand-ins, told by a new configuration; the new interpreter goes on with the notices."""
+        notices = self.interpreter.notices
+        self.told.update(self.stand_in())
+        self.interpreter.notices = notices
+        self.config.write_text(json.dumps(self.told))
+        self.process.send_signal(signal.SIGHUP)
+
     def dispatcher(self):
         return Peer(socket.create_connection(self.address, PATIENCE))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,9 +7,9 @@
 from twisted.internet.testing import StringTransport
 
 from lichencleat.decide import Node
-from lichencleat.net.catalogue import BEYOND, IDLE, Catalogue
+from lichencleat.net.catalogue import BEYOND, IDLE, LINKS_MOST, Catalogue
 from lichencleat.net.deadlines import Deadlines
-from lichencleat.net.dispatchers import Connection, Dispatchers
+from lichencleat.net.dispatchers import BAD_MOST, Connection, Dispatchers
 from lichencleat.net.host import Answer, Case, Host
 from lichencleat.net.interpreter import Interpreter, Link, Run
 from lichencleat.net.membership import Membership
@@ -20,6 +20,7 @@
 
 SECOND = 1_000_000
 ID = b"00000000000000a1"
+CHECK = b"*3\r\n$6\r\nHEALTH\r\n$1\r\n9\r\n$0\r\n\r\n"
 
 
 class Transport(StringTransport):
@@ -236,20 +237,47 @@
     assert link.transport.value().count(b"APPLY") == again
 
 
-def test_an_unconfirmed_reply_is_not_said_again_as_the_run_may_be_at_its_next_call(link, run):
+@pytest.mark.parametrize(
+    ("pure", "age", "said"), [(True, 0.01, b"BREAK"), (True, 0.5, b""), (False, 0.01, b"")]
+)
+def test_a_pure_run_whose_reply_may_be_lost_is_stopped_and_no_reply_said_twice(
+    link, run, reactor, pure, age, said
+):
     made, _ = run
-    link.interpreter.apply(made, b"look", b"x", True)
+    link.interpreter.apply(made, b"look", b"x", pure)
+    link.interpreter.waits(ID, b"call")
     link.interpreter.resolve(made, b"reply")
+    reactor.rightNow += age
+    link.connectionLost()
     link.transport.clear()
     link.interpreter.renew(link)
-    assert not link.transport.value()
+    assert link.transport.value().split(b" ")[0] == said and made.stopping == bool(said)
+
+
+def test_a_lost_link_is_renewed_at_once_and_a_failed_try_later(link, reactor):
+    link.connectionLost()
+    assert len(reactor.connects) == 1
+    reactor.connects[0].clientConnectionFailed(None, None)
+    assert len(reactor.connects) == 1
+    reactor.advance(0.06)
+    reactor.advance(0)
+    assert len(reactor.connects) == 2
+
+
+def test_a_moved_link_is_replaced_by_the_new_one_alone(link, reactor):
+    assert link.interpreter.move(("", 1)) and not link.interpreter.move(("", 1))
+    assert link.interpreter.move(("", 2)) and link.interpreter.link is link
+    assert reactor.connects[0].buildProtocol(None) is None  # of the address before
+    new = reactor.connects[1].buildProtocol(None)
+    link.connectionLost()
+    assert link.interpreter.link is new and len(reactor.connects) == 2
 
 
 def test_a_command_that_was_not_carried_out_ends_its_run(link, run):
     made, heard = run
     link.interpreter.runs[ID] = made
     link.dataReceived(b"ERROR APPLY %s\r\n" % ID)
-    assert heard == [(Outcome.ERRED, 0, b"")]
+    assert heard == [(Outcome.UNREACHED, 0, b"")]
 
 
 def test_gauges_asked_before_the_link_broke_come_as_none(link):
@@ -315,6 +343,48 @@
     assert heard == [(Outcome.COMPLETED, b"new")]
 
 
+@pytest.mark.parametrize(
+    "spoilt",
+    [b"\x00\xff\r\n", ID + b" DATA\r\n", ID + b" DATA x\r\n", ID + b" WHO\r\n", ID + b" DATA 1\r\nabc\r\n"]
+    + [ID + b" DATA 3000000000\r\n", b"x" * 2000, ID + b" LATER 3\r\n", b"short LATER\r\n"],
+)
+def test_a_spoilt_reply_ends_the_calls_of_its_connection_at_once(catalogue, place, spoilt):
+    call, heard = place()
+    link, transport = call.link, call.link.transport
+    link.dataReceived(spoilt)
+    assert heard == [(Outcome.CUT, b"")] and transport.aborted and not catalogue.links
+
+
+def test_a_reply_that_begins_and_does_not_end_is_given_up_soon(reactor, place):
+    call, heard = place()
+    call.link.dataReceived(ID + b" DATA 9\r\nabc")
+    reactor.advance(0.6)
+    reactor.advance(0)
+    assert heard == [(Outcome.CUT, b"")]
+
+
+def test_a_call_has_its_connection_to_itself_until_there_are_many(catalogue, place):
+    links = [place()[0].link for _ in range(LINKS_MOST + 1)]
+    for ident in range(LINKS_MOST + 1):
+        catalogue.fetch(b"%016x" % ident, SECOND, b"", [])
+    assert len(catalogue.links) == LINKS_MOST + 1 and max(len(each.calls) for each in links) == 2
+
+
+def test_a_reply_under_an_unknown_id_is_skipped_with_its_body(place):
+    call, heard = place()
+    call.link.dataReceived(b"00000000000000b2 DATA 4\r\n\r\nab\r\n" + ID + b" DATA 2\r\nok\r\n")
+    assert heard == [(Outcome.COMPLETED, b"ok")]
+
+
+def test_moved_calls_go_to_the_new_address_and_those_under_way_end_where_they_are(catalogue, place):
+    old, heard = place()
+    assert catalogue.move(("", 1))
+    new, _ = place()
+    old.link.dataReceived(ID + b" DATA 2\r\nok\r\n")
+    assert new.link is not old.link and heard == [(Outcome.COMPLETED, b"ok")]
+    assert old.link.transport.disconnecting
+
+
 def test_an_idle_connection_is_closed_before_the_other_side_does(reactor, catalogue, place):
     call, _ = place()
     call.link.dataReceived(ID + b" LATER\r\n")
@@ -353,11 +423,20 @@
     assert case.inquiry in host.node.calling and not host.node.call_times
 
 
-def test_a_call_given_up_spends_its_connection_for_that_inquiry(host, case, place):
-    case.call = call = place()[0]
-    host.node.calling[case.inquiry] = None
-    host.call_ended(case, call, Outcome.OVERDUE, b"")
-    assert case.spent == [call.link] and case.inquiry in host.node.asking
+def test_a_call_spends_its_connection_for_that_inquiry(host, case):
+    host.place_call(Decision(Act.CALL, case.inquiry, span=SECOND), case)
+    assert case.spent == list(host.catalogue.links)
+
+
+def test_what_proved_not_to_have_run_leaves_its_key_to_a_repeat(host, case, answers):
+    host.receipts.read(b"k", case.inquiry)
+    host.receipts.record(0, b"k", case.inquiry, SECOND)
+    host.node.receipts[case.inquiry] = SECOND
+    case.run, case.inquiry.started = Run(ID, print, print), 1
+    host.node.running[case.inquiry] = None
+    host.run_ended(case, Outcome.UNREACHED, 0, b"")
+    host.pull()
+    assert answers == [Answer.GIVEN_UP] and not host.receipts.by_key
 
 
 def test_a_try_deferred_before_it_was_recorded_leaves_no_entry(host, case):
@@ -432,13 +511,14 @@
 
 
 def test_answers_that_nobody_reads_end_the_connection(connection, reactor):
+    connection.dataReceived(CHECK)
     connection.pauseProducing()
     reactor.advance(11)
     reactor.advance(0)
     assert connection.transport.aborted
 
 
-INQUIRY = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$4\r\nlook\r\n$22\r\ni=%s,s=1\r\n$1\r\nx\r\n"
+INQUIRY = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$4\r\nlook\r\n$36\r\ni=%s,s=1,f=1,m=9,p=0.5\r\n$1\r\nx\r\n"
 
 
 def test_an_error_at_an_arrival_is_answered_and_leaves_nothing_behind(connection, host, report):
@@ -469,6 +549,101 @@
     assert b"goaway" in connection.transport.value() and connection.transport.disconnecting
 
 
-def test_a_connection_too_many_is_closed_at_once(connection):
+def test_a_connection_too_many_is_closed_at_once_or_the_oldest_that_said_nothing(connection):
     connection.door.most = 1
+    assert connection.door.buildProtocol(None) and connection.transport.aborted
     assert connection.door.buildProtocol(None) is None
+
+
+def test_connections_at_rest_are_asked_to_go_where_there_are_many_checks_too(connection, reactor):
+    connection.dataReceived(CHECK)
+    connection.door.most = 1
+    connection.door.buildProtocol(None)
+    assert b"goaway" not in connection.transport.value()
+    reactor.advance(2)
+    connection.door.buildProtocol(None)
+    assert b"goaway" in connection.transport.value()
+
+
+@pytest.mark.parametrize("sent", [b"", b"*2\r\n$3\r\nRE", CHECK + b"*5\r\n", CHECK + b"*1\r\n$3\r\n"])
+def test_what_stays_without_a_whole_array_is_closed(connection, reactor, sent):
+    connection.dataReceived(sent)
+    for _ in range(8):
+        reactor.advance(0.2)
+        connection.dataReceived(b"")
+    assert connection.transport.disconnecting
+
+
+def test_a_check_and_then_silence_keep_their_connection(connection, reactor):
+    connection.dataReceived(CHECK)
+    reactor.advance(5)
+    assert not connection.transport.disconnecting
+
+
+def test_a_caller_that_sends_unusable_arrays_is_closed_after_a_few(connection):
+    bad = b"*2\r\n$3\r\nODD\r\n$1\r\n%d\r\n"
+    connection.dataReceived(b"".join(bad % tag for tag in range(1, 9)))
+    assert connection.transport.value().count(b"500") == BAD_MOST and connection.transport.disconnecting
+
+
+def test_a_tag_of_thousands_of_digits_ends_its_connection(connection, report):
+    connection.dataReceived(b"*2\r\n$6\r\nHEALTH\r\n$4000\r\n%s\r\n" % (b"1" * 4000))
+    assert connection.transport.disconnecting and not report.counts["node errors"]
+
+
+def test_more_inquiries_than_a_connection_carries_are_answered_as_failed(connection):
+    connection.cases = dict.fromkeys(range(100, 132))
+    connection.dataReceived(INQUIRY % ID)
+    assert b"500" in connection.transport.value()
+
+
+def test_the_key_of_an_inquiry_with_another_body_is_another_key(connection, host):
+    host.clock = lambda: SECOND
+    for tag, ident, body in ((1, ID, b"x"), (2, b"00000000000000b2", b"y"), (3, b"00000000000000c3", b"x")):
+        said = b"i=%s,s=1000,f=1,m=9,p=0.5,k=%s" % (ident, b"5c" * 16)
+        connection.take([b"REQ", b"%d" % tag, b"save", said, body])
+    first, other, repeat = (each.inquiry for each in connection.cases.values())
+    assert repeat.repeats is first and other.repeats is None
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        "i=0x000000000000a1",
+        "i=" + "a" * 16 + ",i=" + "b" * 16,
+        "m=2000",
+        "m=0",
+        "m=1e2",
+        "p=1",
+        "p=-0.1",
+        "h=nan",
+    ]
+    + ["h=60001", "s=99000", "s=-1", "f=", "f=1_0", "t=nobody", "r=2"],
+)
+def test_no_field_that_is_out_of_form_or_range_reaches_the_decisions(connection, host, said):
+    host.clock = lambda: 50 * SECOND
+    connection.door.tenants = frozenset([b"acme"])
+    good = {"i": "00000000000000a1", "s": 50_000, "f": 1, "m": 9, "p": 0.5, "t": "acme"}
+    name = said.split("=")[0]
+    text = ",".join([f"{key}={value}" for key, value in good.items() if key != name] + [said]).encode()
+    connection.take([b"REQ", b"1", b"look", text, b"x"])
+    assert not connection.cases and b"500" in connection.transport.value()
+    connection.take([b"REQ", b"2", b"look", ",".join(f"{k}={v}" for k, v in good.items()).encode(), b"x"])
+    assert list(connection.cases) == [2]
+
+
+def test_a_caller_at_rest_for_longer_than_told_is_sent_away_from_the_start(
+    connection, host, deadlines, report
+):
+    host.machine.connections_idle = 30 * SECOND
+    assert Dispatchers(host, deadlines, report, 100).idle_span == 30 * SECOND
+
+
+def test_a_moved_service_hears_of_the_node_at_once_but_not_of_one_that_left(deadlines, report):
+    membership, sent = Membership("n1", ("", 0), deadlines, report), []
+    membership.transport = membership.port = Transport()
+    membership.transport.write = lambda datagram, address: sent.append(address)
+    membership.beat()
+    assert membership.move(("", 1)) and sent == [("", 0), ("", 1)]
+    membership.leave()
+    assert membership.move(("", 2)) and len(sent) == 3
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -28,10 +28,10 @@
     "broken",
     [
         b"*0\r\n",
-        b"*17\r\n",
+        b"*9\r\n",
         b"$3\r\nREQ\r\n",
         b"*1\r\n$-1\r\n",
-        b"*1\r\n$65537\r\n",
+        b"*1\r\n$4097\r\n",
         b"*1\r\n$1\r\nabc",
         b"*" + b"1" * 20,
     ],
@@ -42,7 +42,7 @@
 
 
 def test_the_buffer_is_cut_though_an_array_is_always_under_way(arrays):
-    big = b"".join(resp.array(b"x" * 60_000))
+    big = b"".join(resp.array(*[b"x" * 4_000] * 8))
     list(arrays.feed(big[:5]))
     for _ in range(10):
         assert len(list(arrays.feed(big[5:] + big[:5]))) == 1
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+import time
 
 import pytest
 from standins import PATIENCE, Program, array, inquiry
@@ -75,7 +76,7 @@
 
 
 def test_what_arrives_too_late_is_deferred_with_its_fields_and_its_tag_ends(program, peer):
-    peer.send(inquiry(4, b"look", A, b"x", s=1_000))
+    peer.send(inquiry(4, b"look", A, b"x", s=time.time_ns() // 1_000_000 - 7_000))
     tag, word, fields, _ = peer.array()
     assert (tag, word) == (b"4", b"503") and b"w=" in fields and b"v=" in fields
     assert program.interpreter.commands.empty()
@@ -176,15 +177,45 @@
     assert other.array() is None
 
 
-def test_unknown_notices_and_replies_are_passed_over(program, peer):
+def test_unknown_notices_are_passed_over(program, peer):
     peer.send(inquiry(1, b"look", A, b"x"))
     program.interpreter.next()
     program.interpreter.peer.send(b"NOVELTY 1 2\r\n\r\nVALUE x\r\nVALUE 1 %s ODD 5 0\r\n\r\n" % A.encode())
     program.interpreter.notices.append(b"")
     program.interpreter.notice(b"AWAIT " + A.encode(), b"a call")
-    caller, _, _ = program.catalogue.next()
-    caller.send(b"nonsense\r\n%s WHO 2\r\nxx\r\n%s DATA 2\r\nok\r\n" % (B.encode(), A.encode()))
-    assert program.interpreter.next()[0][0] == b"RESOLVE"
+    assert program.catalogue.next()[2] == b"a call"
+
+
+def test_a_new_configuration_moves_all_that_goes_out_and_loses_nothing(program, peer):
+    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"look", B, b"y"))
+    program.interpreter.next(), program.interpreter.next()
+    old, old_catalogue, old_members = program.interpreter, program.catalogue, program.members
+    old.notice(b"AWAIT " + A.encode(), b"a call")
+    caller, _, _ = old_catalogue.next()
+    program.move()
+    assert program.members.recv(100) == b"HB n1 UP"
+    new = program.interpreter
+    assert new.connects.get(timeout=PATIENCE) == 1
+    caller.send(b"%s DATA 2\r\nok\r\n" % A.encode())
+    commands = sorted(
+        new.next()[0][:2] for _ in range(2)
+    )  # the pure run once more, and the reply to the other
+    assert commands == [[b"APPLY", B.encode()], [b"RESOLVE", A.encode()]]
+    new.notice(b"VALUE %s PASS 5" % A.encode(), b"saved")
+    assert peer.array()[:2] == [b"1", b"200"]
+    new.notice(b"AWAIT " + B.encode(), b"a call")
+    assert program.catalogue.next()[1][1] == B.encode()
+    for each in (old.listener, old_catalogue.listener, old_members):
+        each.close()
+
+
+def test_a_wrong_configuration_under_work_is_told_and_the_old_one_stays(program, peer):
+    program.config.write_text("{")
+    program.process.send_signal(signal.SIGHUP)
+    while "stays in force" not in program.process.stderr.readline():
+        assert program.process.poll() is None
+    peer.send(array(b"HEALTH", b"1", b""))
+    assert peer.array()[:2] == [b"1", b"serving"]
 
 
 @pytest.mark.parametrize(
