End runs that never began, and tell every ten seconds what the node believes

ERROR has no number, so a link that breaks takes along the one that answers APPLY; the run then stayed in Interpreter.runs and in the module's `running` for good, as nothing ends it: a slot less each time. The same for a receipted run whose APPLY was lost. Now ERROR BREAK ends what never began, and a run that is told to stop once more is begun before: nothing happens where it runs, and a request that is over is answered NOOP.

Beliefs (callers by state, inquiries by state, runs, age of the gauges, calls, connections, last report) are one line in ten seconds.

--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -17,6 +17,7 @@
 from lichencleat.net.report import Report
 
 LOOK = 20_000  # µs between looks whether all is answered, while leaving
+BELIEFS = 10_000_000  # µs between lines that tell what the node believes: a log stays readable
 CLOSED_BY = 150_000  # µs before the stop by which the program ends in any case
 CROSSING = 300_000  # µs after goaway for what crosses it, and for the last answers to go out
 
@@ -58,6 +59,19 @@
         self.dispatchers.listen(self.reactor, self.told.listen)
         self.interpreter.start().addCallback(self.host.begin)
         self.membership.start(self.reactor, self.told.listen[0])
+        self.deadlines.after(BELIEFS, self.tell_beliefs)
+
+    def tell_beliefs(self) -> None:
+        """One line with what the node believes, to be compared with what its peers see."""
+        self.deadlines.after(BELIEFS, self.tell_beliefs)
+        beliefs = (
+            self.dispatchers.beliefs(),
+            self.host.beliefs(),
+            self.interpreter.beliefs(),
+            self.catalogue.beliefs(),
+            self.membership.beliefs(),
+        )
+        self.report.note("believes: " + "; ".join(beliefs))
 
     def reload(self, told: Told) -> None:
         """Takes over new addresses and the time to stop; what else changed is told, as it needs a restart."""
--- a/lichencleat/net/catalogue.py
+++ b/lichencleat/net/catalogue.py
@@ -213,6 +213,9 @@
     def drop(self, link: Link) -> None:
         self.links.pop(link, None)
 
+    def beliefs(self) -> str:
+        return f"{sum(len(each.calls) for each in self.links)} calls on {len(self.links)} connections"
+
     def stop(self) -> None:
         for link in list(self.links):
             link.close()
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -30,6 +30,9 @@
 RESERVE = 96  # descriptors kept for the listener, interpreter, catalogue, members and the process itself
 CROWDED = 0.75  # of the connections: from there on those at rest are asked to go
 REST_LEAST = 1_000_000  # µs without traffic before that: a caller that comes back mostly does so sooner
+REST_CUT = (
+    60_000  # µs without traffic before one is cut off at the bound: what crosses that is sent once more
+)
 UNREAD_LONG = 10_000_000  # µs that a caller may leave answers unread: longer than any inquiry waits
 CLOSE_AFTER = 300_000  # µs after goaway by which an unused connection is closed from here: what crossed is in
 FORMS = {  # of the fields, by the protocol: nothing that merely converts
@@ -327,10 +330,10 @@
         At the bound the oldest that said nothing is cut off, or the longest at rest. Harm: a caller that is
         slow to send its first array may be cut off; nothing of it was read.
         """
-        if len(self.connections) >= CROWDED * self.most and (resting := self.longest_at_rest()):
+        if len(self.connections) >= CROWDED * self.most and (resting := self.longest_at_rest(REST_LEAST)):
             resting.go_away()
         if len(self.connections) >= self.most:
-            oldest = next(iter(self.strangers), None) or self.longest_at_rest()
+            oldest = next(iter(self.strangers), None) or self.longest_at_rest(REST_CUT)
             if oldest is None:
                 self.report.count("dispatchers", "connections too many")
                 return None
@@ -338,8 +341,8 @@
             oldest.abort("room for others")
         return Connection(self)
 
-    def longest_at_rest(self) -> Connection | None:
-        before = self.deadlines.now() - REST_LEAST
+    def longest_at_rest(self, span: int) -> Connection | None:
+        before = self.deadlines.now() - span
         resting = [
             each
             for each in self.connections
@@ -353,6 +356,13 @@
             if not connection.going:
                 connection.watch_idle()
 
+    def beliefs(self) -> str:
+        going = sum(each.going for each in self.connections)
+        busy = sum(bool(each.cases) for each in self.connections)
+        return (
+            f"{len(self.connections)} callers, {busy} busy, {len(self.strangers)} silent, {going} sent away"
+        )
+
     def go_away(self) -> None:
         for connection in self.connections:
             connection.go_away()
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from enum import Enum
 from functools import partial
@@ -345,5 +346,12 @@
         self.cases.give_back(case.inquiry.number)
         case.inquiry.number = -1
 
+    def beliefs(self) -> str:
+        states = Counter(each.inquiry.state.name.lower() for each in self.cases)
+        held = ", ".join(f"{count} {name}" for name, count in sorted(states.items()))
+        value = "none" if self.free_value is None else f"{self.free_value:.2f}"
+        health = "on" if self.healthy else "off"
+        return f"in hand: {held or 'nothing'}, {self.owed()} owed; health {health}, free value {value}"
+
     def owed(self) -> int:
         return sum(case.open for case in self.cases)
--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -18,6 +18,7 @@
 CONNECT_WAIT = 1_000_000  # µs for a connection on the same machine
 MAYBE_LOST = 100_000  # µs: twice what a link that breaks may take along of the commands written before
 REPLACED_STAYS = 2_000_000  # µs that a replaced link may stay open: the other side ends it after 1.5 s
+SILENT = 2_000_000  # µs without gauges, asked for ten times a second: to connect anew does no harm
 KINDS = (b"VALUE", b"AWAIT", b"TRACE", b"TOPS", b"BANNER", b"ERROR")
 OUTCOMES = {
     b"PASS": Outcome.COMPLETED,
@@ -52,6 +53,7 @@
     def __init__(self, interpreter: Interpreter) -> None:
         self.interpreter = interpreter
         self.reader = LineReader(lambda words: len(words) == CARRIES_BODY.get(words[0] if words else b""))
+        self.made_at = interpreter.deadlines.now()
         self.ready = False  # all notices that the last link may have missed were read
         self.gauges: dict[bytes, Deferred] = {}
 
@@ -106,6 +108,7 @@
         self.link: Link | None = None
         self.up: Deferred | None = Deferred()  # fires once: is it cold
         self.closed = False
+        self.told_at = 0  # the last gauges
         self.lost_at: int | None = None  # the first link to break since commands were last known to arrive
         self.connecting: Connecting | None = None
         self.reached_by: Deadline | None = None
@@ -181,9 +184,16 @@
         self.command(run, line_with_body(b"RESOLVE", run.ident, body=reply))
 
     def halt(self, run: Run) -> None:
-        run.stopping = True
+        """Stops a run of which nobody waits for the outcome.
+
+        Guards against runs that never end here, as a link took their beginning along: told to stop once more,
+        they are begun first. That does nothing where they run, and else a notice tells that they are over.
+        """
         if self.link is not None and self.link.ready:
+            if run.stopping and run.command and not run.begun:
+                self.write(self.link, run.command)
             self.write(self.link, line(b"BREAK", run.ident))
+        run.stopping = True
 
     def command(self, run: Run, command: list[bytes]) -> None:
         run.command = command
@@ -220,11 +230,22 @@
 
     def gauges(self) -> Deferred | None:
         """Fires with the readings, or with None where they are cancelled or the link is lost."""
-        if self.link is None or not self.link.ready:
+        if self.link is None or self.up is not None:
+            return None
+        if self.deadlines.now() - max(self.told_at, self.link.made_at) > SILENT:
+            self.report.count("interpreter", "links silent")
+            self.link.transport.abortConnection()
+            return None
+        if not self.link.ready:
             return None
         self.tops += 1
         return self.link.ask_gauges(b"g%d" % self.tops)
 
+    def beliefs(self) -> str:
+        age = f"{(self.deadlines.now() - self.told_at) // 1000} ms ago" if self.told_at else "never"
+        link = "lost" if self.link is None else "ready" if self.link.ready else "not ready"
+        return f"{len(self.runs)} runs, link {link}, gauges {age}"
+
     # --- notices ---
 
     def take(self, link: Link, words: list[bytes], body: bytes) -> None:
@@ -267,6 +288,7 @@
             up.callback(state == b"EMPTY")
 
     def told(self, link: Link, tag: bytes, readings: list[float]) -> None:
+        self.told_at = self.deadlines.now()
         asked = link.gauges.pop(tag, None)
         if asked is not None:
             asked.callback(readings)
@@ -290,9 +312,12 @@
         run.ended(OUTCOMES[end], int(took_ms * 1000), result)
 
     def erred(self, words: list[bytes]) -> None:
-        """A command that was not carried out; one to begin a run proves that there is none."""
+        """A command that was not carried out: to begin a run or to stop it proves that there is none.
+
+        The word to the beginning has no number and may be lost with a link; the one to the stop comes then.
+        """
         self.report.note(f"interpreter: {b' '.join(words)[:80].decode('ascii', 'replace')}")
-        run = self.runs.get(words[2]) if words[1] == b"APPLY" else None
+        run = self.runs.get(words[2]) if words[1] in (b"APPLY", b"BREAK") else None
         if run is not None and not run.begun:
             del self.runs[run.ident]
             run.ended(Outcome.UNREACHED, 0, b"")
--- a/lichencleat/net/membership.py
+++ b/lichencleat/net/membership.py
@@ -20,6 +20,7 @@
         self.deadlines, self.report = deadlines, report
         self.next: Deadline | None = None
         self.port: Any = None
+        self.sent_at = deadlines.now()
 
     def start(self, reactor: Any, interface: str) -> None:
         self.port = reactor.listenUDP(0, self, interface=interface)
@@ -47,6 +48,9 @@
         if self.port is not None:
             self.send("OUT")
 
+    def beliefs(self) -> str:
+        return f"reported {(self.deadlines.now() - self.sent_at) // 1000} ms ago"
+
     def stop(self) -> None:
         self.deadlines.cancel(self.next)
         if self.port is not None:
@@ -56,6 +60,7 @@
     def send(self, state: str) -> None:
         try:
             self.transport.write(f"HB {self.name} {state}".encode(), self.service)
+            self.sent_at = self.deadlines.now()
             self.report.count("membership", f"sent {state}")
         except OSError:
             self.report.trouble("membership")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,7 +11,7 @@
 from lichencleat.net.deadlines import Deadlines
 from lichencleat.net.dispatchers import BAD_MOST, Connection, Dispatchers
 from lichencleat.net.host import Answer, Case, Host
-from lichencleat.net.interpreter import Interpreter, Link, Run
+from lichencleat.net.interpreter import SILENT, Interpreter, Link, Run
 from lichencleat.net.membership import Membership
 from lichencleat.net.receipts import READ_LATE, Receipts
 from lichencleat.net.report import LINES_MOST, Report
@@ -273,15 +273,33 @@
     assert link.interpreter.link is new and len(reactor.connects) == 2
 
 
-def test_a_command_that_was_not_carried_out_ends_its_run(link, run):
+@pytest.mark.parametrize("command", [b"APPLY", b"BREAK"])
+def test_a_command_that_was_not_carried_out_ends_its_run(link, run, command):
     made, heard = run
     link.interpreter.runs[ID] = made
-    link.dataReceived(b"ERROR APPLY %s\r\n" % ID)
+    link.dataReceived(b"ERROR %s %s\r\n" % (command, ID))
     assert heard == [(Outcome.UNREACHED, 0, b"")]
 
 
+def test_a_run_that_does_not_stop_may_never_have_begun_and_is_begun_before_its_next_stop(link, run):
+    made, _ = run
+    link.interpreter.apply(made, b"save", b"x", False)
+    link.transport.clear()
+    link.interpreter.halt(made)
+    assert b"APPLY" not in link.transport.value()
+    link.interpreter.halt(made)
+    assert b"APPLY " + ID + b" save 1\r\nx\r\nBREAK" in link.transport.value()
+
+
+def test_a_link_that_stays_silent_is_renewed(link, reactor):
+    link.interpreter.up = None
+    link.interpreter.gauges()
+    reactor.advance(SILENT / SECOND + 0.01)
+    assert link.interpreter.gauges() is None and link.transport.aborted
+
+
 def test_gauges_asked_before_the_link_broke_come_as_none(link):
-    heard = []
+    heard, link.interpreter.up = [], None
     link.interpreter.gauges().addCallback(heard.append)
     link.connectionLost()
     assert heard == [None]
@@ -476,7 +494,7 @@
 
 
 def test_gauges_that_do_not_come_are_not_waited_for(host, link, reactor, report):
-    host.interpreter = link.interpreter
+    host.interpreter, link.interpreter.up = link.interpreter, None
     host.wake()
     assert link.gauges and not report.counts["host wake-ups without gauges"]
     reactor.advance(0.05)
