--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -122,11 +122,14 @@
         self.sharing: dict[Inquiry, None] = {}
         self.to_stop: dict[Inquiry, None] = {}
         self.receipts: dict[Inquiry, int] = {}  # until when each entry lives
+        self.unrun = False  # some inquiry ended without a run since the receipts were looked through
         # what is known
         self.gauges = Gauges()
         self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
         self.costs: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
+        self.usual_runs: dict[Tariff | None, float] = {}  # worked out since the last run ended
         self.call_times: deque[tuple[int, bool]] = deque(maxlen=CALLS_KEPT)  # and whether it came back
+        self.patience: int | None = None  # worked out since the last call ended
         self.read_times: deque[tuple[int, int]] = deque(maxlen=READS_KEPT)  # when, and how long after arrival
         self.progress_at = self.on_time_at = 0
         self.full_since: int | None = None
@@ -152,17 +155,16 @@
     def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.COMPLETED and inquiry in self.running:
             self.run_times.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(took)
+            self.usual_runs.clear()
         if outcome in (Outcome.COMPLETED, Outcome.ERRED):
             inquiry.answered = True
         inquiry.succeeded = outcome is Outcome.COMPLETED
         if inquiry.succeeded and now <= self.soft_end(inquiry):
             self.on_time_at = now
         self.progress_at = now
-        self.leave(inquiry)
+        self.end(inquiry)
         if not inquiry.answered and outcome is Outcome.STOPPED:
             self.move(inquiry, self.held, State.HELD)
-        else:
-            inquiry.state = State.ENDED
 
     def wants_call(self, now: int, inquiry: Inquiry) -> None:
         self.progress_at = now
@@ -175,6 +177,7 @@
         well, pure = outcome is Outcome.COMPLETED, inquiry.tariff.effect is Effect.PURE
         if not (self.hedges and outcome is Outcome.OVERDUE):  # that tells our patience, not how calls go
             self.call_times.append((took, well))
+            self.patience = None
         # Guards the dependency against nodes with one call there each, but all at once: under a bound of one,
         # each pays back its time before the next. Harm: a receipted call abandoned for it is not repeated.
         if self.calls_most < 1:
@@ -199,8 +202,7 @@
         if inquiry in self.running:
             self.to_stop[inquiry] = None
         elif inquiry.state in (State.HELD, State.SHARING):
-            self.leave(inquiry)
-            inquiry.state = State.ENDED
+            self.end(inquiry)
 
     def must_leave(self, now: int, at: int) -> None:
         self.leaves_at = at - LEAVE_MARGIN
@@ -229,9 +231,11 @@
     def usual_run(self, tariff: Tariff | None = None) -> float:
         """The usual time of a run, of this tariff if enough of it is known."""
         own = self.run_times.get(tariff, ()) if tariff else ()
-        if len(own) >= RUNS_FEW:
-            return median(own)
-        return median([took for times in self.run_times.values() for took in times] or [0.0])
+        tariff = tariff if len(own) >= RUNS_FEW else None
+        if tariff not in self.usual_runs:
+            times = own if tariff else [took for times in self.run_times.values() for took in times]
+            self.usual_runs[tariff] = median(times or [0.0])
+        return self.usual_runs[tariff]
 
     def run_time(self, now: int, tariff: Tariff | None = None) -> float:
         """The usual time of a run; what is under way tells sooner than what has ended."""
@@ -262,10 +266,11 @@
 
         Harm where all are slow: work is done twice, so it follows recent calls, and the last try waits on.
         """
-        back = sorted(took for took, well in self.call_times if well)
-        if len(back) < CALLS_FEW:
-            return FAR
-        return max(CALL_PATIENCE_LEAST, CALL_PATIENCE * back[len(back) // 2])
+        if self.patience is None:
+            back = sorted(took for took, well in self.call_times if well)
+            usual = back[len(back) // 2] if len(back) >= CALLS_FEW else FAR
+            self.patience = min(FAR, max(CALL_PATIENCE_LEAST, CALL_PATIENCE * usual))
+        return self.patience
 
     def stalled(self, now: int) -> bool:
         """No run ended or reached a call for long, though the cores have work: a hang, or all but one.
@@ -341,8 +346,7 @@
     # --- decisions, pulled one by one ---
 
     def next_decision(self, now: int) -> Decision | None:
-        if self.round is None:
-            self.round = self.decide(now)
+        self.round = self.round or self.decide(now)
         decision = next(self.round, None)
         if decision is None:
             self.round = None
@@ -389,8 +393,7 @@
         drowned = self.read_time(now) > self.longest_soft_limit * DROWNED  # its answers come too late
         self.healthy = self.leaves_at is None and not drowned and not self.sick(now)
         self.to_stop.update((each, None) for each in self.running if each.answered)  # a hang ignores it
-        for inquiry in [each for each, until in self.receipts.items() if until <= now]:
-            del self.receipts[inquiry]
+        self.receipts = {each: until for each, until in self.receipts.items() if until > now}
 
     def answer_due(self, now: int) -> Iterator[Decision]:
         """Guards the first rule: whatever is due before the next wake-up is answered now."""
@@ -427,13 +430,8 @@
             if inquiry.repeats or inquiry.repeats_unknown:
                 self.move(inquiry, self.held, State.HELD)
                 continue
-            if (
-                inquiry.due <= now + self.guard
-                or not self.may_run(inquiry)
-                or self.stalled(now)
-                or self.too_late(now, inquiry, len(self.held))
-                or self.used_kb() > self.memory_kb
-            ):
+            no_use = inquiry.due <= now + self.guard or self.too_late(now, inquiry, len(self.held))
+            if no_use or not self.may_run(inquiry) or self.stalled(now) or self.used_kb() > self.memory_kb:
                 yield self.defer(now, inquiry)
                 continue
             if self.full():
@@ -505,7 +503,8 @@
 
     def strike_unrun(self) -> Iterator[Decision]:
         """The entry of a try that ended without a run guards nothing and takes memory."""
-        for inquiry in list(self.receipts):
+        ended, self.unrun = list(self.receipts) if self.unrun else (), False
+        for inquiry in ended:
             if inquiry.state is State.ENDED and inquiry.started is None:
                 del self.receipts[inquiry]
                 yield Decision(Act.STRIKE, inquiry)
@@ -531,10 +530,8 @@
                 else:
                     yield self.give_up(inquiry)
                 continue
-            if (
-                now < max(inquiry.call_after, self.call_next_at - CALLS_AHEAD)
-                or self.calls_out(now) >= self.calls_most
-            ):
+            paced = now < max(inquiry.call_after, self.call_next_at - CALLS_AHEAD)
+            if paced or self.calls_out(now) >= self.calls_most:
                 continue
             self.move(inquiry, self.calling, State.CALLING)
             inquiry.called_at = now
@@ -616,8 +613,7 @@
         elif inquiry in self.asking:
             self.move(inquiry, self.calling, State.CALLING)  # off our hands when the host says that it ended
         elif inquiry not in self.calling:
-            self.leave(inquiry)
-            inquiry.state = State.ENDED
+            self.end(inquiry)
         return Decision(Act.GIVE_UP, inquiry)
 
     def move(self, inquiry: Inquiry, pool: dict[Inquiry, None], state: State) -> None:
@@ -625,6 +621,11 @@
         pool[inquiry] = None
         inquiry.state = state
 
+    def end(self, inquiry: Inquiry) -> None:
+        self.leave(inquiry)
+        inquiry.state = State.ENDED
+        self.unrun = self.unrun or inquiry.started is None
+
     def leave(self, inquiry: Inquiry) -> None:
         for pool in (self.new, self.held, self.running, self.asking, self.calling, self.sharing):
             pool.pop(inquiry, None)
--- a/lichencleat/net/program.py
+++ b/lichencleat/net/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -67,5 +68,7 @@
     except CannotListenError as bad:
         print(f"lichencleat: BALANCER_CONFIG: 'listen': {bad}", file=sys.stderr)
         return 2
+    gc.collect()
+    gc.freeze()  # what stands by now stays: a full collection looks through what came since, not through all
     reactor.run(installSignalHandlers=False)
     return 0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -139,8 +139,10 @@
 def test_the_entry_of_a_try_that_never_ran_is_struck(node, receipted):
     node.receipts[Inquiry(receipted, arrived=0, due=SECOND, state=State.ENDED, started=0)] = 9 * SECOND
     assert not list(node.strike_unrun())
-    node.receipts[Inquiry(receipted, arrived=0, due=SECOND, state=State.ENDED)] = 9 * SECOND
-    assert next(node.strike_unrun()).act is Act.STRIKE
+    unrun = Inquiry(receipted, arrived=0, due=SECOND)
+    node.receipts[unrun] = 9 * SECOND
+    node.give_up(unrun)
+    assert [each.act for each in node.strike_unrun()] == [Act.STRIKE] and not node.unrun
 
 
 def test_the_cap_moves_by_the_gain_times_the_error_within_its_bounds(node, tariff):
@@ -288,7 +290,9 @@
     node.shortest_soft_limit = 2 * SECOND
     node.sample(0)
     assert node.reference == 2.0
-    node.run_times[tariff] = [SECOND] * 4
+    for inquiry in (Inquiry(tariff, arrived=0, due=9 * SECOND) for _ in range(4)):
+        node.running[inquiry] = None
+        node.run_ended(0, inquiry, Outcome.COMPLETED, SECOND)
     node.sample(SECOND)
     assert node.reference == 1.0
 
