Give back the timer of a connection that is asked to go: it kept each in memory

A probe of the tables: 213 connections open, but 4,272 Connection objects and 4,686 entries in the heap of timers, both up by 1,000 a minute; all other tables level (23 to 30 slots, 150 receipts). Line to blame: Connection.go_away put the timer to close over the one that watches for idleness without cancelling that, which then armed itself anew for good.

--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -292,6 +292,7 @@
             self.going = True
             self.transport.writeSequence(array(b"0", b"goaway"))
             self.door.report.count("dispatchers", "sent goaway")
+            self.door.deadlines.cancel(self.idle)  # or it would outlast the connection, and keep it in memory
             self.idle = self.door.deadlines.after(CLOSE_AFTER, self.close_unused)
 
     def close_unused(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -583,6 +583,17 @@
     assert b"goaway" in connection.transport.value()
 
 
+def test_a_connection_that_was_asked_to_go_leaves_no_timer_behind(connection, reactor, deadlines):
+    connection.door.idle_span = 30 * SECOND
+    connection.watch_idle()
+    connection.dataReceived(CHECK)
+    connection.go_away()
+    reactor.advance(1)
+    reactor.advance(0)
+    connection.connectionLost()
+    assert not [entry for entry in deadlines.heap if entry[2].call]
+
+
 @pytest.mark.parametrize("sent", [b"", b"*2\r\n$3\r\nRE", CHECK + b"*5\r\n", CHECK + b"*1\r\n$3\r\n"])
 def test_what_stays_without_a_whole_array_is_closed(connection, reactor, sent):
     connection.dataReceived(sent)
