--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -37,6 +37,8 @@
 )
 
 PERIOD = 100_000  # µs: a tenth of the shortest wait that matters, and ten wake-ups a second cost little
+SOFT_USUAL = 1_300_000  # µs: the shortest soft limit that these spans suit; shorter ones shorten them alike
+PACE_LEAST = 0.2  # of those spans: quicker rounds would cost more than they gain
 GAIN = 0.2  # cap per held inquiry and period: low, as the paper prefers; its range takes about a second
 HOLD_WAIT = 0.2  # of the shortest soft limit, for the wait in the hold: the run and its calls need the rest
 CLIMB = 1 / 3  # of the cores, added to the running limit per period: doubles it in a third of a second
@@ -94,8 +96,7 @@
         self.cold_from = machine.cold_share if machine.cold else 1.0
         self.warm_after = machine.warm_after if machine.cold else 0
         self.can_stop, self.paid_by_work = machine.halt is not Halt.NONE, machine.paid_by_work
-        self.told, self.callers = machine.told, machine.callers
-        self.advice_most = machine.advice_most
+        self.told, self.callers, self.advice_most = machine.told, machine.callers, machine.advice_most
         shared = machine.below is Below.SHARED and machine.calls_share > 0
         self.calls_ceiling = machine.calls_share * CALLS_PART if shared else float("inf")
         self.calls_most = min(self.calls_ceiling, float(machine.cores))
@@ -103,10 +104,13 @@
         self.calls_cut_at = self.call_next_at = 0
         self.calls_longest = self.calls_ceiling * machine.calls_span if self.calls_ceiling < 1 else FAR
         self.fresh, self.hedges = machine.fresh, machine.below is Below.TIER
-        self.shortest_soft_limit = min((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
+        self.shortest_soft_limit = min((each.soft_limit for each in machine.tariffs), default=SOFT_USUAL)
         self.longest_soft_limit = max((each.soft_limit for each in machine.tariffs), default=STALL_LEAST)
         self.grace, self.resolution, self.time_told = machine.grace, machine.resolution, machine.time_told
-        self.guard = PERIOD + 2 * machine.resolution  # an answer due sooner than this goes out now
+        # Guards against judging quick work by slow work's spans. Harm: more wake-ups, down to 20 ms apart.
+        self.pace = min(1.0, max(PACE_LEAST, self.shortest_soft_limit / SOFT_USUAL))
+        self.period = int(PERIOD * self.pace)
+        self.guard = self.period + 2 * machine.resolution  # an answer due sooner than this goes out now
         self.started_at: int | None = None
         self.round: Iterator[Decision] | None = None  # what is left to pull
         # the design's loop
@@ -195,7 +199,7 @@
         self.move(inquiry, self.asking, State.ASKING)
         never_ran = outcome in (Outcome.TURNED_AWAY, Outcome.UNREACHED)
         inquiry.calls_failed += 1 if never_ran or pure else CALL_TRIES
-        inquiry.call_after = now + CALL_PAUSE * inquiry.calls_failed
+        inquiry.call_after = now + int(CALL_PAUSE * self.pace) * inquiry.calls_failed
 
     def caller_left(self, now: int, inquiry: Inquiry) -> None:
         inquiry.answered = True
@@ -269,7 +273,7 @@
         if self.patience is None:
             back = sorted(took for took, well in self.call_times if well)
             usual = back[len(back) // 2] if len(back) >= CALLS_FEW else FAR
-            self.patience = min(FAR, max(CALL_PATIENCE_LEAST, CALL_PATIENCE * usual))
+            self.patience = min(FAR, max(int(CALL_PATIENCE_LEAST * self.pace), CALL_PATIENCE * usual))
         return self.patience
 
     def stalled(self, now: int) -> bool:
@@ -278,7 +282,7 @@
         Guards against any standstill, whatever its cause. It does harm where the few inquiries that run are
         all many times the usual size: arrivals then go elsewhere until one of them ends.
         """
-        long = max(STALL_LEAST, STALL_RUNS * self.run_time(now))
+        long = max(STALL_LEAST * self.pace, STALL_RUNS * self.run_time(now))
         return len(self.running) >= min(self.cores, int(self.limit)) and now - self.progress_at > long
 
     def sick(self, now: int) -> bool:
@@ -311,9 +315,8 @@
     def bulk(self, inquiry: Inquiry) -> float:
         """How its work, as told, compares with that of its tariff."""
         costs = self.costs.get(inquiry.tariff, ())
-        if not inquiry.cost or len(costs) < RUNS_FEW:
-            return 1.0
-        return inquiry.cost / max(1.0, median(costs))
+        known = inquiry.cost and len(costs) >= RUNS_FEW
+        return inquiry.cost / max(1.0, median(costs)) if known else 1.0
 
     def soft_end(self, inquiry: Inquiry) -> int:
         tariff = inquiry.tariff
@@ -334,8 +337,7 @@
         """A caller whose time left is told may try elsewhere, the less often the more is deferred here.
 
         Guards against losses by chance while others idle. Harm: each try is read again."""
-        shed = sum(self.judged) / READS_KEPT
-        return self.time_told and self.chance.random() * SHED_FEW >= shed
+        return self.time_told and self.chance.random() * SHED_FEW >= sum(self.judged) / READS_KEPT
 
     def has_run(self, inquiry: Inquiry) -> bool:
         return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
@@ -369,7 +371,7 @@
 
     def sample(self, now: int) -> None:
         """The design's step, u += Ki (ref - QL), and the running limit's climb."""
-        self.next_sample = now + PERIOD - self.resolution
+        self.next_sample = now + self.period - self.resolution
         waits = len(self.held)
         wanting = len(self.running) if self.gauges.wanting_core is None else self.gauges.wanting_core
         if wanting > self.cores * CROWDED:
@@ -385,9 +387,9 @@
             self.full_since = None
         elif self.full_since is None:
             self.full_since = now
-        pressed = self.deferred_lately or self.read_time(now) > READ_LATE
+        pressed = self.deferred_lately or self.read_time(now) > READ_LATE * self.pace
         idle = self.healthy and not waits and (self.gauges.busy or 0.0) < TOLD_IDLE
-        self.ease += -TOLD_UP if idle else TOLD_UP if pressed else -TOLD_DOWN
+        self.ease += (-TOLD_UP if idle else TOLD_UP if pressed else -TOLD_DOWN) * self.pace
         self.ease = min(TOLD_MOST, max(0.0, self.ease))
         self.deferred_lately = 0
         drowned = self.read_time(now) > self.longest_soft_limit * DROWNED  # its answers come too late
@@ -398,7 +400,7 @@
     def answer_due(self, now: int) -> Iterator[Decision]:
         """Guards the first rule: whatever is due before the next wake-up is answered now."""
         stalled = self.stalled(now)  # then a caller of a pure run may still find another node in time
-        crowded = bool(self.held) or self.read_time(now) > READ_LATE
+        crowded = bool(self.held) or self.read_time(now) > READ_LATE * self.pace
         ran = (*self.running, *self.calling, *self.asking)
         for inquiry in (*ran, *self.held, *self.sharing):
             if inquiry.answered:
@@ -497,9 +499,8 @@
                 yield self.record(now, inquiry)  # however it came into the hold: without, it never starts
 
     def takes_entry(self, inquiry: Inquiry) -> bool:
-        if inquiry.tariff.effect is Effect.RECEIPTED:
-            return True
-        return self.fresh > 0 and inquiry.has_subject and self.used_kb() < self.memory_kb * ENTRY_PART
+        shared = self.fresh > 0 and inquiry.has_subject and self.used_kb() < self.memory_kb * ENTRY_PART
+        return shared or inquiry.tariff.effect is Effect.RECEIPTED
 
     def strike_unrun(self) -> Iterator[Decision]:
         """The entry of a try that ended without a run guards nothing and takes memory."""
@@ -535,7 +536,7 @@
                 continue
             self.move(inquiry, self.calling, State.CALLING)
             inquiry.called_at = now
-            until = min(inquiry.due, max(soft, now + PERIOD) if late else inquiry.due)
+            until = min(inquiry.due, max(soft, now + self.period) if late else inquiry.due)
             span = min(max(until - now, self.guard), int(self.calls_longest))
             if pure and self.hedges and inquiry.calls_failed < CALL_TRIES - 1:
                 span = min(span, self.call_patience())
@@ -543,7 +544,7 @@
 
     def start_held(self, now: int) -> Iterator[Decision]:
         """Oldest first; newest first once the hold has stood full for long."""
-        newest_first = self.full_since is not None and now - self.full_since > FULL_LONG
+        newest_first = self.full_since is not None and now - self.full_since > FULL_LONG * self.pace
         order = list(self.held)
         for inquiry in reversed(order) if newest_first else order:
             begun = len(self.running) + len(self.asking) + len(self.calling)
@@ -574,16 +575,15 @@
             self.said_idle = idle
             yield Decision(Act.CLOSE_IDLE, span=idle)
         if not self.wake_at:
-            self.wake_at = now + PERIOD
-            yield Decision(Act.WAKE, span=PERIOD)
+            self.wake_at = now + self.period
+            yield Decision(Act.WAKE, span=self.period)
 
     def idle_after(self) -> int:
         """Connections are kept for callers known to come back; each of a stranger takes room in vain.
 
         Guards against a table full of idle connections, which also slows the node. Harm: handshakes.
         """
-        back = len(self.callers_seen) - len(set(self.callers_seen))
-        known = back >= CALLERS_BACK * CALLERS_KEPT
+        known = len(self.callers_seen) - len(set(self.callers_seen)) >= CALLERS_BACK * CALLERS_KEPT
         return self.connections_idle if known else min(IDLE_SOON, self.connections_idle)
 
     def free_value(self) -> float | None:
--- a/lichencleat/net/catalogue.py
+++ b/lichencleat/net/catalogue.py
@@ -22,7 +22,7 @@
 REST_WAIT = 500_000  # µs for the rest of a reply that has begun: it comes in one piece from the same machine
 HEX = frozenset(b"0123456789abcdefABCDEF")
 IDENT = 16  # digits of an id
-BEYOND = 200_000  # µs past a call's stated time before a silent proxy is no longer waited for
+BEYOND = 50_000  # µs past a call's stated time before a silent proxy on the same machine is given up
 CONNECT_WAIT = 2_000_000  # µs for a connection to a proxy on the same machine
 OUTCOMES = {
     b"DATA": Outcome.COMPLETED,
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -44,6 +44,14 @@
     assert node.sick(2 * SECOND + 1)
 
 
+@pytest.mark.parametrize(("soft_limit", "span"), [(2 * SECOND, 100_000), (325_000, 25_000), (1_000, 20_000)])
+def test_spans_follow_the_shortest_soft_limit_where_that_is_short(soft_limit, span):
+    quick = Tariff("quick", soft_limit=soft_limit, hard_limit=5 * SECOND)
+    node = Node(Machine(tariffs=[quick]), random.Random(1))
+    assert [each.span for each in node.tell(0) if each.act is Act.WAKE] == [span]
+    assert node.guard == span
+
+
 def test_a_stalled_node_gives_up_pure_runs_so_that_others_may_try(node, tariff, receipted):
     pure = Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)
     booked = Inquiry(receipted, arrived=0, due=9 * SECOND, started=0)
