Bound what a connection keeps in memory and how much of it is read at once

Seen by reading: an array could have 8 words of 4 KiB, 64 KiB of read bytes stayed in each buffer, and a turn read 64 KiB of one connection, a thousand small arrays.

--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -18,6 +18,7 @@
 from lichencleat.terms import Effect, Inquiry
 
 BODY_MOST = 2_048  # bytes, by the protocol
+READ_MOST = 16_384  # bytes read at once: a flood on one connection holds the others up for some ms at most
 OPEN_MOST = 32  # inquiries open on one connection, by the protocol
 BAD_MOST = 4  # unusable arrays on one connection: more is no slip, and each costs as much as a good one
 TAG_DIGITS = 18  # of a tag: more than any connection has arrays
@@ -86,6 +87,7 @@
         self.number = self.door.connections.take(self)
         self.door.report.count("dispatchers", "connections")
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_MOST
         self.transport.registerProducer(self, True)
         self.last_traffic = self.door.deadlines.now()
         self.door.strangers[self] = None
--- a/lichencleat/net/framing.py
+++ b/lichencleat/net/framing.py
@@ -7,7 +7,7 @@
 
 Message = TypeVar("Message")
 
-TRIM = 65_536  # bytes that were read before the buffer is cut: seldom enough to cost little
+TRIM = 4_096  # bytes that were read before the buffer is cut: seldom enough, and little for each connection
 
 
 class BrokenFramingError(Exception):
