--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -387,7 +387,7 @@
             self.full_since = None
         elif self.full_since is None:
             self.full_since = now
-        pressed = self.deferred_lately or self.read_time(now) > READ_LATE * self.pace
+        pressed = self.deferred_lately or self.read_time(now) > READ_LATE
         idle = self.healthy and not waits and (self.gauges.busy or 0.0) < TOLD_IDLE
         self.ease += (-TOLD_UP if idle else TOLD_UP if pressed else -TOLD_DOWN) * self.pace
         self.ease = min(TOLD_MOST, max(0.0, self.ease))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -52,6 +52,17 @@
     assert node.guard == span
 
 
+def test_reading_at_its_usual_pace_does_not_make_callers_keep_back_where_soft_limits_are_short():
+    node = Node(Machine(tariffs=[Tariff("quick", soft_limit=360_000, hard_limit=SECOND)]), random.Random(1))
+    node.gauges = Gauges(busy=0.8)
+    node.read_times.extend([(0, 60_000)] * 16)
+    node.sample(0)
+    assert node.ease == 0
+    node.read_times.extend([(0, 160_000)] * 16)
+    node.sample(SECOND)
+    assert node.ease > 0
+
+
 def test_a_stalled_node_gives_up_pure_runs_so_that_others_may_try(node, tariff, receipted):
     pure = Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)
     booked = Inquiry(receipted, arrived=0, due=9 * SECOND, started=0)
