Embedded store: segmented log, atomic batches, recovery, compaction, first commands

Change: lichencleat/store/ with its one door to the disk, a faulty disk, a checker of what a cut may leave; the command lichencleat store. The node's run line imports none of it. Result (simulated disk): no violation in cuts at each of the workload's calls, in recovery and the recovery after it, with errors at each call; leaving out flushes is found.

--- a/lichencleat/__main__.py
+++ b/lichencleat/__main__.py
@@ -1,10 +1,25 @@
-"""`python -m lichencleat`: one real node, as the platform's environment describes it."""
+"""`python -m lichencleat`: one real node, as the platform's environment describes it; with a command, that
+command.
+"""
 
 import signal
 import sys
 
-signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the imports take a while; what it asks for is read after them
 
-from lichencleat.net.program import main  # noqa: E402
+def main() -> int:
+    if len(sys.argv) > 1:
+        try:
+            from lichencleat.cli.main import run
+        except ModuleNotFoundError as missing:
+            print(f"lichencleat: needs {missing.name}: pip install 'lichencleat[commands]'", file=sys.stderr)
+            return 2
+        return run(sys.argv[1:])
+    # the imports take a while; what it asks for is read after them
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from lichencleat.net.program import main as node
 
-sys.exit(main())
+    return node()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lichencleat/cli/main.py
@@ -0,0 +1,61 @@
+"""The command `lichencleat` and its nouns; a noun's module, and what it needs, is imported only when it is
+used.
+"""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+import click
+
+NOUNS = {"store": ("lichencleat.cli.store", "Records that survive cuts: put, get, check, repair.")}
+EXTRAS = {"crc32c": "store", "msgspec": "store", "sortedcontainers": "store", "hdrh": "bench"}
+
+
+class Nouns(click.Group):
+    def list_commands(self, context: click.Context) -> list[str]:
+        return sorted(NOUNS)
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        return importlib.import_module(NOUNS[name][0]).group if name in NOUNS else None
+
+    def format_commands(self, context: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):  # without importing them
+            formatter.write_dl([(name, help) for name, (_, help) in sorted(NOUNS.items())])
+
+
+@click.command(cls=Nouns)
+@click.version_option(package_name="lichencleat")
+def lichencleat() -> None:
+    """Admission and scheduling for servers behind others' balancers.
+
+    Without a command it is the node that BALANCER_CONFIG describes.
+    """
+
+
+def run(arguments: list[str]) -> int:
+    """The command's exit code; whatever goes wrong is one line."""
+    try:
+        lichencleat.main(arguments, prog_name="lichencleat", standalone_mode=False)
+    except click.exceptions.NoArgsIsHelpError as asked:
+        click.echo(asked.format_message())
+        return 2
+    except click.ClickException as wrong:
+        place = f"{wrong.ctx.command_path}: " if isinstance(wrong, click.UsageError) and wrong.ctx else ""
+        click.echo(f"lichencleat: {place}{wrong.format_message()}", err=True)
+        return wrong.exit_code
+    except click.exceptions.Exit as ended:
+        return ended.exit_code
+    except (click.Abort, KeyboardInterrupt):
+        return 130
+    except BrokenPipeError:  # who read the output has seen enough
+        sys.stdout = None
+        return 0
+    except ModuleNotFoundError as missing:
+        extra = EXTRAS.get(missing.name or "")
+        if extra is None:
+            raise
+        click.echo(f"lichencleat: needs {missing.name}: pip install 'lichencleat[{extra}]'", err=True)
+        return 2
+    return 0
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -106,7 +106,7 @@
             self.door.report.count("dispatchers", "lost with their connection")
             self.door.host.caller_left(case)
 
-    # --- a caller that does not read ---
+    # --- a caller that does not read --------------------------------------------------------------
 
     def pauseProducing(self) -> None:
         """Guards the memory against answers that nobody reads: nothing more is read, then it is closed."""
@@ -128,7 +128,7 @@
         self.closing = True
         self.transport.abortConnection()
 
-    # --- what comes ---
+    # --- what comes -------------------------------------------------------------------------------
 
     def dataReceived(self, data: bytes) -> None:
         self.last_traffic = self.door.deadlines.now()
@@ -238,7 +238,7 @@
         self.transport.pauseProducing()
         self.end_if_done()
 
-    # --- what goes ---
+    # --- what goes --------------------------------------------------------------------------------
 
     def answer(self, tag: int, answer: Answer, result: bytes, span: int, last: bool) -> None:
         if self.cases.pop(tag, None) is None:
@@ -270,7 +270,7 @@
         self.unread = self.door.deadlines.after(UNREAD_LONG, self.abort, "answers left unread")
         self.transport.loseConnection()
 
-    # --- idle connections ---
+    # --- idle connections -------------------------------------------------------------------------
 
     def watch_idle(self) -> None:
         self.door.deadlines.cancel(self.idle)
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -101,7 +101,7 @@
             Act.NOTE: self.note,
         }
 
-    # --- what happened ---
+    # --- what happened ----------------------------------------------------------------------------
 
     def begin(self, cold: bool) -> None:
         """The interpreter is up: from now on there is something to decide on."""
@@ -213,7 +213,7 @@
             self.release(case)
         self.stir()
 
-    # --- decisions ---
+    # --- decisions --------------------------------------------------------------------------------
 
     def stir(self) -> None:
         """Decisions are pulled once for all that the reactor reads in one turn."""
@@ -326,7 +326,7 @@
     def note(self, decision: Decision, case: Case | None) -> None:
         self.report.note(decision.text)
 
-    # --- answers ---
+    # --- answers ----------------------------------------------------------------------------------
 
     def answer(
         self, case: Case, answer: Answer, result: bytes = b"", span: int = 0, last: bool = False
--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -114,7 +114,7 @@
         self.reached_by: Deadline | None = None
         self.again: Deadline | None = None
 
-    # --- the link ---
+    # --- the link ---------------------------------------------------------------------------------
 
     def start(self) -> Deferred:
         self.connect()
@@ -173,7 +173,7 @@
         if self.link is not None:
             self.link.transport.loseConnection()
 
-    # --- commands ---
+    # --- commands ---------------------------------------------------------------------------------
 
     def apply(self, run: Run, tariff: bytes, body: bytes, pure: bool) -> None:
         self.runs[run.ident] = run
@@ -246,7 +246,7 @@
         link = "lost" if self.link is None else "ready" if self.link.ready else "not ready"
         return f"{len(self.runs)} runs, link {link}, gauges {age}"
 
-    # --- notices ---
+    # --- notices ----------------------------------------------------------------------------------
 
     def take(self, link: Link, words: list[bytes], body: bytes) -> None:
         """Guards the node against one bad notice: it is counted and passed over."""
--- /dev/null
+++ b/lichencleat/store/faulty.py
@@ -0,0 +1,242 @@
+"""A disk of memory that fails on demand: the stand-in for the machine's in tests that cut the power.
+
+It keeps what was written apart from what was flushed. At a cut, what was not flushed may be there, be absent,
+be torn at any byte, leave a hole where it stood, or have reached the disk in another order than it was
+written; so may names, renames and removals. A flush that fails leaves what it covered readable, and no later
+flush brings it to the disk.
+"""
+
+from __future__ import annotations
+
+import errno
+import random
+from collections.abc import Callable, Iterator
+
+Choose = Callable[[int], int]
+"""Gives one of 0 .. n-1: by chance, or in turn by `every_choice`."""
+
+
+class PowerCutError(Exception):
+    """The machine is off: the call may have been done or not, and nothing after it is."""
+
+
+class Content:
+    """A file's bytes: what is on the disk, and the writes since, which may reach it or not."""
+
+    def __init__(self, flushed: bytes = b"") -> None:
+        self.flushed = flushed
+        self.now = bytearray(flushed)
+        self.pending: list[tuple[int, bytes]] = []
+        # a flush of these failed: they may have reached it or not, for good
+        self.lost: list[tuple[int, bytes]] = []
+
+    def write(self, data: bytes) -> None:
+        self.pending.append((len(self.now), data))
+        self.now += data
+
+    def flush(self) -> None:
+        self.flushed = patched(self.flushed, self.pending)
+        self.pending = []
+
+    def after_cut(self, choose: Choose) -> bytes:
+        kept = []
+        for at, data in [*self.lost, *self.pending]:
+            fate = choose(3)  # absent, whole, or torn
+            if fate == 1:
+                kept.append((at, data))
+            elif fate == 2 and len(data) > 1:
+                kept.append((at, data[: 1 + choose(len(data) - 1)]))
+        return patched(self.flushed, kept)
+
+
+def patched(flushed: bytes, writes: list[tuple[int, bytes]]) -> bytes:
+    data = bytearray(flushed)
+    for at, piece in writes:
+        data.extend(bytes(max(0, at + len(piece) - len(data))))  # a hole reads as zeros
+        data[at : at + len(piece)] = piece
+    return bytes(data)
+
+
+class FaultyDisk:
+    """As `disk.Disk`. `faults` maps the number of a call, from 0 on, to an errno, or to CUT, CUT_AFTER or
+    SHORT.
+    """
+
+    CUT, CUT_AFTER, SHORT = -1, -2, -3
+
+    def __init__(self, files: dict[str, bytes] | None = None, room: int | None = None) -> None:
+        self.flushed_names = {name: Content(data) for name, data in (files or {}).items()}
+        self.live_names = dict(self.flushed_names)
+        self.pending_names: list[tuple[str, str, Content]] = []  # (what, name, content), in order
+        self.room = room  # bytes on the disk in all; None: no end
+        self.faults: dict[int, int] = {}
+        self.calls: list[str] = []
+        self.off = False
+        self.locked = False
+        self.spared: set[str] = set()  # calls that are made to do nothing: a mutant's left-out flush, say
+        self.open_files = 0
+
+    # -- faults ------------------------------------------------------------------------------------
+
+    def called(self, what: str) -> int:
+        """Counts the call and lets the fault meant for it happen; a fault that comes after it is given
+        back.
+        """
+        if self.off:
+            raise PowerCutError(what)
+        fault = self.faults.get(len(self.calls), 0)
+        self.calls.append(what)
+        if fault == self.CUT:
+            self.off = True
+            raise PowerCutError(what)
+        if fault > 0 and what not in ("append", "flush"):
+            raise OSError(fault, errno.errorcode[fault])
+        return fault
+
+    def done(self, fault: int) -> None:
+        if fault == self.CUT_AFTER:
+            self.off = True
+            raise PowerCutError("after")
+
+    def used(self) -> int:
+        return sum(len(each.now) for each in set(self.live_names.values()))
+
+    def after_cut(self, choose: Choose) -> FaultyDisk:
+        """The disk as the next start finds it; everything on it is flushed."""
+        names = dict(self.flushed_names)
+        for what, name, content in self.pending_names:
+            if choose(2):
+                self.apply(names, what, name, content)
+        found: dict[Content, bytes] = {}  # one content under two names is one file
+        for content in names.values():
+            if content not in found:
+                found[content] = content.after_cut(choose)
+        after = FaultyDisk(room=self.room)
+        after.flushed_names = {name: Content(found[content]) for name, content in sorted(names.items())}
+        after.live_names = dict(after.flushed_names)
+        return after
+
+    @staticmethod
+    def apply(names: dict[str, Content], what: str, name: str, content: Content) -> None:
+        if what == "remove":
+            if names.get(name) is content:
+                del names[name]
+            return
+        if what == "rename":  # whole or not at all: the old name goes with it
+            for old in [each for each, its in names.items() if its is content and each != name]:
+                del names[old]
+        names[name] = content
+
+    def image(self) -> dict[str, bytes]:
+        return {name: bytes(content.now) for name, content in self.live_names.items()}
+
+    # -- as a Disk ---------------------------------------------------------------------------------
+
+    def names(self) -> list[str]:
+        return sorted(self.live_names)
+
+    def open(self, name: str, create: bool = False) -> Content:
+        fault = self.called("create" if create else "open")
+        if create:
+            if name in self.live_names:
+                raise FileExistsError(errno.EEXIST, "exists", name)
+            self.live_names[name] = Content()
+            self.pending_names.append(("create", name, self.live_names[name]))
+        elif name not in self.live_names:
+            raise FileNotFoundError(errno.ENOENT, "no such file", name)
+        self.done(fault)
+        self.open_files += 1
+        return self.live_names[name]
+
+    def append(self, file: Content, data: bytes) -> None:
+        fault = self.called("append")
+        if not data:
+            return
+        fits = len(data)
+        if self.room is not None:
+            fits = max(0, min(fits, self.room - self.used()))
+        if fault == self.SHORT or fault > 0:
+            fits = min(fits, len(data) // 2)
+        if fits:
+            file.write(bytes(data[:fits]))
+        self.done(fault)
+        if fits < len(data):
+            code = fault if fault > 0 else errno.ENOSPC
+            raise OSError(code, errno.errorcode[code])
+
+    def read(self, file: Content, offset: int, length: int) -> bytes:
+        fault = self.called("read")
+        self.done(fault)
+        return bytes(file.now[offset : offset + length])
+
+    def flush(self, file: Content) -> None:
+        fault = self.called("flush")
+        if "flush" in self.spared:
+            return
+        if fault > 0:
+            file.lost += file.pending
+            file.pending = []
+            raise OSError(fault, errno.errorcode[fault])
+        file.flush()
+        self.done(fault)
+
+    def flush_directory(self) -> None:
+        fault = self.called("flush_directory")
+        if "flush_directory" in self.spared:
+            return
+        for pending in self.pending_names:
+            self.apply(self.flushed_names, *pending)
+        self.pending_names = []
+        self.done(fault)
+
+    def rename(self, old: str, new: str) -> None:
+        fault = self.called("rename")
+        content = self.live_names.pop(old)
+        self.live_names[new] = content
+        self.pending_names.append(("rename", new, content))
+        self.done(fault)
+
+    def remove(self, name: str) -> None:
+        fault = self.called("remove")
+        if name not in self.live_names:
+            raise FileNotFoundError(errno.ENOENT, "no such file", name)
+        self.pending_names.append(("remove", name, self.live_names.pop(name)))
+        self.done(fault)
+
+    def size(self, file: Content) -> int:
+        return len(file.now)
+
+    def close(self, file: Content) -> None:
+        self.open_files -= 1
+
+    def lock(self) -> None:
+        self.locked = True
+
+    def unlock(self) -> None:
+        self.locked = False
+
+
+def by_chance(rng: random.Random) -> Choose:
+    return rng.randrange
+
+
+def every_choice(most: int) -> Iterator[Choose]:
+    """A `Choose` for each way through a few choices, in turn; at most `most` of them."""
+    path: list[list[int]] = []  # [chosen, among], as an odometer
+    for _ in range(most):
+        at = 0
+
+        def choose(among: int) -> int:
+            nonlocal at
+            if at == len(path):
+                path.append([0, among])
+            at += 1
+            return path[at - 1][0]
+
+        yield choose
+        del path[at:]
+        while path and path[-1][0] + 1 == path[-1][1]:
+            path.pop()
+        if not path:
+            return
+        path[-1][0] += 1
--- /dev/null
+++ b/lichencleat/store/frames.py
@@ -0,0 +1,143 @@
+"""The bytes of the store's files: file heads and frames, made and read; no I/O. The format is docs/store.md.
+
+A frame's checksum covers its file's salt, its offset, its length and its body. So a copy of a frame at any
+other place (in a value, or in a block that the file system gave again) is no frame.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable, Iterator
+
+import msgspec
+from crc32c import crc32c
+
+from lichencleat.store.errors import UnfitError
+
+FORMAT = 1  # version of all files
+# a segment, a checkpoint, the store's mark
+LOG_MAGIC, POINT_MAGIC, STORE_MAGIC = b"lcstlog", b"lcstpnt", b"lcststo"
+SALT = 8  # bytes of chance in a file's head
+FILE_HEAD = len(LOG_MAGIC) + 1 + SALT  # bytes: magic, version, salt
+MARKER = b"\xa7\xc5"  # begins a frame, so that a search for the next one runs in C
+HEAD = struct.Struct("<2sII")  # marker, length of the body, checksum
+PLACE = struct.Struct("<QI")  # what the checksum begins with after the salt: offset, length
+KEY_MOST = 65_536  # bytes: a key lives in memory
+VALUE_MOST = 16 << 20  # bytes
+BODY_MOST = VALUE_MOST + KEY_MOST + 64  # bytes: both and the numbers about them
+FRAME_EXTRA = HEAD.size + 48  # bytes: the most that a frame is larger than its key and value
+WINDOW = 1 << 20  # bytes read at once when files are walked through
+BODY_BEGINS = 0x96  # msgpack's array of six, with which the body of every log frame begins
+
+PUT, DELETE, BATCH_PUT, BATCH_DELETE, COMMIT, MARK, GONE = range(1, 8)
+# The body: sequence, kind, how far back the last flushed sequence was when it was written, number, key,
+# value. The number is a put's expiry (0: none), the sequence a tombstone stands for (0: its own), a commit's
+# count, a mark's time, or the segment that is gone.
+Body = tuple[int, int, int, int, bytes, memoryview]
+decode_body = msgspec.msgpack.Decoder(Body).decode
+encode_any = msgspec.msgpack.encode
+
+Read = Callable[[int, int], bytes]  # offset, length -> bytes, fewer at the end
+
+
+def file_head(magic: bytes, salt: bytes) -> bytes:
+    return magic + bytes([FORMAT]) + salt
+
+
+def read_file_head(data: bytes, magic: bytes, name: str) -> bytes | None:
+    """The file's salt, or None where this is no whole head. Raises UnfitError for a newer format."""
+    if len(data) < FILE_HEAD or not data.startswith(magic):
+        return None
+    if data[len(magic)] > FORMAT:
+        raise UnfitError(
+            f"{name}: format {data[len(magic)]}, newer than {FORMAT}; open it with a newer lichencleat"
+        )
+    return data[len(magic) + 1 : FILE_HEAD] if data[len(magic)] == FORMAT else None
+
+
+def checksum(salt: int, offset: int, body: bytes | memoryview) -> int:
+    """`salt` is the checksum of the file's salt: computed once a file."""
+    return crc32c(body, crc32c(PLACE.pack(offset, len(body)), salt))
+
+
+def frame(salt: int, offset: int, body: bytes) -> bytes:
+    return HEAD.pack(MARKER, len(body), checksum(salt, offset, body)) + body
+
+
+def whole_frame(data: bytes, salt: int, offset: int) -> memoryview | None:
+    """The body of the one frame that these bytes of that offset are, if they are one."""
+    if len(data) < HEAD.size:
+        return None
+    marker, length, check = HEAD.unpack_from(data)
+    body = memoryview(data)[HEAD.size :]
+    good = marker == MARKER and length == len(body) and checksum(salt, offset, body) == check
+    return body if good else None
+
+
+def bodies(read: Read, start: int, size: int, salt: int) -> Iterator[tuple[int, int, memoryview]]:
+    """Offset, length and body of each whole frame from `start` on, up to the first that is not whole.
+
+    A body is a view into a window and may be kept; the window is given back with the last view of it.
+    """
+    base, data = start, b""
+    at = start
+    head, most = HEAD.size, BODY_MOST
+    unpack, place = HEAD.unpack_from, PLACE.pack
+    view = memoryview(data)
+    while at + head <= size:
+        here = at - base
+        if here + head > len(data):
+            base, data = at, read(at, min(WINDOW, size - at))
+            here, view = 0, memoryview(data)
+            if len(data) < head:
+                return
+        marker, length, check = unpack(data, here)
+        if marker != MARKER or length > most or at + head + length > size:
+            return
+        end = here + head + length
+        if end > len(data):
+            base, data = at, read(at, max(min(WINDOW, size - at), head + length))
+            here, end, view = 0, head + length, memoryview(data)
+            if len(data) < end:
+                return
+        body = view[here + head : end]
+        if crc32c(body, crc32c(place(at, length), salt)) != check:
+            return
+        yield at, head + length, body
+        at += head + length
+
+
+def next_frame(read: Read, start: int, size: int, salt: int) -> int | None:
+    """The offset of the first whole log frame at or after `start`: how a walk gets past bytes that are none.
+
+    Tries every place at which a frame could begin; a place that is no frame costs a checksum at the most.
+    """
+    at = start
+    while at + HEAD.size < size:
+        data = read(at, min(WINDOW, size - at))
+        here = data.find(MARKER)
+        while here >= 0 and here + HEAD.size < len(data):
+            _, length, _ = HEAD.unpack_from(data, here)
+            offset, end = at + here, here + HEAD.size + length
+            if (
+                data[here + HEAD.size] == BODY_BEGINS
+                and length <= BODY_MOST
+                and offset + HEAD.size + length <= size
+            ):
+                whole = data[here:end] if end <= len(data) else read(offset, HEAD.size + length)
+                if whole_frame(whole, salt, offset) is not None:
+                    return offset
+            here = data.find(MARKER, here + 1)
+        if len(data) <= HEAD.size:
+            return None
+        at += len(data) - HEAD.size  # a marker in the last bytes is looked at again, with its head whole
+    return None
+
+
+def islands(read: Read, start: int, size: int, salt: int) -> Iterator[tuple[int, int, memoryview]]:
+    """Every whole frame at or after `start`, past whatever lies between them."""
+    at: int | None = start
+    while (at := next_frame(read, at, size, salt)) is not None:
+        for offset, length, body in bodies(read, at, size, salt):
+            yield offset, length, body
+            at = offset + length
--- /dev/null
+++ b/tests/store/workload.py
@@ -0,0 +1,102 @@
+"""A scripted workload for the store, with every kind of write that it makes, judged after any fault."""
+
+import contextlib
+import random
+
+from lichencleat.store.checkers import History
+from lichencleat.store.engine import Batch, Bounds, Engine
+from lichencleat.store.errors import FullError, NotConfirmedError, StoreError
+from lichencleat.store.faulty import FaultyDisk, PowerCutError
+
+SMALL = Bounds(segment_bytes=400, disk_bytes=12_000, entries=100, memory_bytes=100_000, segments=64)
+SECOND = 1_000_000
+
+
+class Day:
+    """A clock that the test moves, one disk after another, and what was asked of the stores on them."""
+
+    def __init__(self, seed=1, bounds=SMALL):
+        self.now = 1_000 * SECOND
+        self.rng = random.Random(seed)
+        self.history = History()
+        self.bounds = bounds
+        self.engine = None
+        self.confirms = []  # how many were confirmed, and each segment's size then
+
+    def open(self, disk, create=True):
+        self.engine = Engine.open(disk, lambda: self.now, self.rng, self.bounds, create=create)
+        return self.engine
+
+    def ask(self, *changes):
+        """One batch: (key, value or None, expiry)."""
+        batch = Batch()
+        for key, value, expiry in changes:
+            if value is None:
+                batch.delete(key)
+            else:
+                batch.put(key, value, expiry)
+        self.history.asked(changes)
+        (verdict,) = self.engine.commit([batch])
+        if verdict is None:
+            self.history.confirms()
+            sizes = {each.name: each.size for each in self.engine.segments.values()}
+            self.confirms.append((self.history.confirmed, sizes))
+        elif isinstance(verdict, FullError) and verdict.bound != "room on the disk itself":
+            self.history.refuses()
+        elif isinstance(verdict, FullError | NotConfirmedError):
+            self.history.fails()
+        return verdict
+
+    def upkeep(self, most=400, budget=200):
+        for _ in range(most):
+            if not self.engine.step(budget):
+                return
+        raise AssertionError("the upkeep has no end")
+
+    def run(self, rounds=3, point=True, close=True):
+        """Puts, rewrites, batches, deletes, expiry, rotation, cleaning; a checkpoint, a clean close."""
+        for turn in range(rounds):
+            for n in range(4):
+                self.ask((b"k%d" % n, b"v%d.%d" % (turn, n) * 6, 0))
+            self.ask((b"a", b"%d" % turn, 0), (b"b", b"x" * 40 * turn, 0), (b"k1", None, 0))
+            self.ask((b"t%d" % turn, b"soon over", self.now + SECOND))
+            self.ask((b"k%d" % turn, None, 0))
+            self.now += SECOND // 2
+            self.upkeep()
+        if point:
+            with contextlib.suppress(OSError):
+                self.engine.begin_point()
+            self.upkeep()
+        self.ask((b"after", b"the checkpoint", 0))
+        self.ask((b"and", b"one", 0), (b"more", None, 0), (b"batch", b"", 0))
+        if close:
+            self.engine.close()
+
+    def judge(self, engine):
+        found = dict(engine.scan())
+        for key, value in found.items():
+            assert engine.get(key) == value
+        assert engine.get(b"never asked for") is None
+        return self.history.judge(found, self.now)
+
+
+def start_until_cut(day, disk):
+    """The workload up to a cut that the disk's faults make; True where it was cut."""
+    try:
+        day.open(disk)
+        day.run()
+    except PowerCutError:
+        return True
+    except StoreError:
+        return False
+    return False
+
+
+def count_calls():
+    """How many calls of the disk the workload makes: each is a place to cut at."""
+    disk = FaultyDisk()
+    day = Day()
+    day.open(disk)
+    day.run()
+    assert day.engine.counts["segments cleaned"] and day.engine.counts["checkpoints"]
+    return len(disk.calls)
