--- a/lichencleat/store/engine.py
+++ b/lichencleat/store/engine.py
@@ -330,7 +330,8 @@
             raise
         segment.size += len(data)
         self.count_written(len(head) + len(data))
-        self.active = self.segments[number] = segment
+        with self.guard:
+            self.active = self.segments[number] = segment
         self.marked = self.time
         self.sequence = segment.end = segment.through
         self.enter(carried, places, segment)
@@ -424,9 +425,9 @@
 
     def write(self, records: list[Record]) -> StoreError | None:
         """Appends and flushes the records, then enters them; or none of them, and the segment is not trusted
-        again.
+        again. No records: a mark of the time alone, which proves all before it.
         """
-        if self.time - self.marked >= MARK_EACH:
+        if self.time - self.marked >= MARK_EACH or not records:
             records = [Record(frames.MARK, self.time, b""), *records]
         try:
             segment = self.writable()
@@ -490,7 +491,7 @@
     def shed(self) -> None:
         """Ends the oldest snapshots while the files that they hold keep the store over its bound."""
         while self.total() > self.most.disk_bytes - self.most.reserve_bytes and any(self.pins.values()):
-            self.release(next(snapshot for snapshot, pinned in self.pins.items() if pinned))
+            self.release(next(snapshot for snapshot, pinned in list(self.pins.items()) if pinned))
             self.counts["snapshots ended"] += 1
 
     # -- reading -----------------------------------------------------------------------------------
@@ -666,33 +667,13 @@
         """Copies what the segment still holds to the log's end; at its end the segment goes."""
         segment = cleaning.segment
         others = [each for each in self.segments.values() if each is not segment]
+        oldest = all(each.number > segment.number for each in others)
         keep: list[Record] = []
+        # key and old place of what is copied, None for other records
         moves: list[tuple[bytes, int] | None] = []
-        spent = 0
-        oldest = all(each.number > segment.number for each in others)
-        if not (oldest and not self.index.live.get(segment.number, 0)):  # else nothing in it is needed
-            read = lambda offset, length: self.disk.read(segment.file, offset, length)  # noqa: E731
-            for offset, length, body in frames.bodies(read, cleaning.offset, segment.size, segment.salt):
-                sequence, kind, _, number, key, value = frames.decode_body(body)
-                if sequence != cleaning.sequence:
-                    break
-                where = place(segment.number, offset, length, number)
-                record = self.kept(kind, sequence, number, key, value, where, others)
-                if record is not None:
-                    keep.append(record)
-                    moves.append((key, where) if record.kind == frames.PUT else None)
-                    spent += length
-                spent += length
-                cleaning.offset, cleaning.sequence = offset + length, sequence + 1
-                if spent >= budget:
-                    break
-            else:
-                if cleaning.offset < segment.size:
-                    self.cleaning = None
-                    segment.damaged = True  # it stays as it is, for `check` and `salvage`
-                    raise DamagedError(
-                        [Finding(segment.name, cleaning.offset, "a confirmed record is not whole")]
-                    )
+        # else nothing of it is needed, tombstones included
+        if not oldest or self.index.live.get(segment.number, 0):
+            self.gather(cleaning, budget, others, keep, moves)
             done = cleaning.offset >= segment.size
         else:
             done = True
@@ -707,6 +688,52 @@
             self.disk_full = False  # some room was given back; the next write tells
             self.counts["segments cleaned"] += 1
 
+    def gather(
+        self,
+        cleaning: Cleaning,
+        budget: int,
+        others: Sequence[Segment],
+        keep: list[Record],
+        moves: list[tuple[bytes, int] | None],
+    ) -> None:
+        """Reads on through the segment, some `budget` bytes, and adds what has to be kept of it."""
+        segment = cleaning.segment
+        spent = 0
+        read = self.victim_reader(segment)
+        for offset, length, body in frames.bodies(read, cleaning.offset, segment.size, segment.salt):
+            sequence, kind, _, number, key, value = frames.decode_body(body)
+            if sequence != cleaning.sequence:
+                raise self.spoilt(
+                    segment, offset, f"record {sequence} stands where {cleaning.sequence} belongs"
+                )
+            where = place(segment.number, offset, length, number)
+            record = self.kept(kind, sequence, number, key, value, where, others)
+            if record is not None:
+                keep.append(record)
+                moves.append((key, where) if record.kind == frames.PUT else None)
+                spent += length
+            spent += length
+            cleaning.offset, cleaning.sequence = offset + length, sequence + 1
+            if spent >= budget:
+                return
+        if cleaning.offset < segment.size:
+            raise self.spoilt(segment, cleaning.offset, "a confirmed record is not whole")
+
+    def victim_reader(self, segment: Segment) -> frames.Read:
+        def read(offset: int, length: int) -> bytes:
+            try:
+                return self.disk.read(segment.file, offset, length)
+            except OSError as wrong:
+                raise self.spoilt(segment, offset, f"can't be read: {wrong.strerror}") from wrong
+
+        return read
+
+    def spoilt(self, segment: Segment, offset: int, what: str) -> DamagedError:
+        """The segment is left as it is, for `check` and `salvage`; cleaning goes on with others."""
+        self.cleaning = None
+        segment.damaged = True
+        return DamagedError([Finding(segment.name, offset, what)])
+
     def kept(
         self,
         kind: int,
@@ -781,10 +808,15 @@
                 known = [each for each in (self.sweep_earliest, self.index.earliest) if each]
                 self.index.earliest = min(known, default=0)
                 self.swept = self.time
+        if following is None and self.time > self.marked:
+            self.write([])  # a mark: what was dropped stays so, whatever the clock says after a cut
 
     # -- checkpoints and the reserve ---------------------------------------------------------------
 
     def begin_point(self) -> None:
+        """Begins a checkpoint, unless one is under way; the next steps write it. Raises OSError."""
+        if self.pointing is not None:
+            return
         newest = self.active or next(reversed(self.segments.values()))
         with contextlib.suppress(FileNotFoundError):
             self.disk.remove(checkpoint.NEW)
@@ -887,7 +919,8 @@
         try:
             with contextlib.suppress(StoreError):
                 if self.active is not None and self.active.size > self.active.start:
-                    self.write([Record(frames.MARK, self.tick(), b"")])
+                    self.tick()
+                    self.write([])
                 if self.log_bytes - self.point_mark > POINT_AT_CLOSE and not self.disk_full:
                     self.give_up_point()
                     self.begin_point()
@@ -915,19 +948,22 @@
         self.disk.unlock()
 
     def stat(self) -> dict[str, int]:
-        live = sum(self.index.live.values())
-        total = sum(each.size for each in self.segments.values())
-        return {
-            "entries": len(self.index),
-            "bytes in memory": self.index.memory,
-            "segments": len(self.segments),
-            "bytes on disk": total,
-            "bytes live": live,
-            "bytes of tombstones": sum(each.tombs for each in self.segments.values()),
-            "bytes of garbage": sum(upkeep.garbage(each, self.index.live) for each in self.segments.values()),
-            "bytes of the reserve": self.reserve_held,
-            "last sequence": self.sequence,
-            "last checkpoint": self.last_point,
-            "snapshots": len(self.pins),
-            **self.counts,
-        }
+        """Sizes now and counts since the start; docs/operate-store.md says what each means. From any
+        thread.
+        """
+        with self.guard:
+            segments, live = list(self.segments.values()), dict(self.index.live)
+            return {
+                "entries": len(self.index),
+                "bytes in memory": self.index.memory,
+                "segments": len(segments),
+                "bytes on disk": sum(each.size + each.waste for each in segments),
+                "bytes live": sum(live.values()),
+                "bytes of tombstones": sum(each.tombs for each in segments),
+                "bytes of garbage": sum(upkeep.garbage(each, live) for each in segments),
+                "bytes of the reserve": self.reserve_held,
+                "last sequence": self.sequence,
+                "last checkpoint": self.last_point,
+                "snapshots": len(self.pins),
+                **self.counts,
+            }
--- /dev/null
+++ b/tests/store/every_byte.py
@@ -0,0 +1,156 @@
+"""The store's files cut off at every byte, each file alone and the last two segments at every pair of
+offsets.
+
+    python -m tests.store.every_byte            all of it, in minutes; one table
+    python -m tests.store.every_byte --share 50  every fiftieth offset, as the tests do
+
+A file cut off behind what was flushed is what a cut of power leaves; the store opens, and holds a whole
+number of the batches, all those that were confirmed before the offset among them. One cut off before that is
+damage: it is told, and a salvage gives nothing but what was confirmed, and all of it that stood whole.
+"""
+
+import itertools
+import os
+import random
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+
+import click
+
+from lichencleat.store.checkers import History
+from lichencleat.store.engine import Bounds
+from lichencleat.store.errors import DamagedError, StoreError, UnfitError
+from lichencleat.store.faulty import FaultyDisk
+from lichencleat.store.index import length_of, offset_of, segment_of
+from lichencleat.store.inspect import salvage
+from lichencleat.store.segments import NAME
+from tests.store.workload import Day
+
+LARGE = Bounds(segment_bytes=1 << 20, disk_bytes=1 << 30)
+
+
+class Cutter:
+    """The workload's files, and what is true of them at each length."""
+
+    def __init__(self, point, close):
+        disk = FaultyDisk()
+        self.day = Day()
+        self.day.open(disk)
+        self.day.run(point=point, close=False)
+        self.places = dict(self.day.engine.index.places)
+        if close:
+            self.day.engine.close()
+        self.image = disk.image()
+        self.whole = {key: value for key, (value, _) in self.day.history.after(10_000).items()}
+        self.ever = {(key, value) for batch in self.day.history.batches for key, value, _ in batch}
+        self.in_batches = {key for batch in self.day.history.batches if len(batch) > 1 for key, _, _ in batch}
+        self.logs = sorted(each for each in self.image if each.endswith(".log"))
+        self.outcomes = Counter()
+
+    def confirmed_at(self, lengths):
+        """How many batches had been confirmed when the files were no longer than that."""
+        return max(
+            (
+                count
+                for count, sizes in self.day.confirms
+                if all(sizes.get(name, 0) <= length for name, length in lengths.items())
+            ),
+            default=0,
+        )
+
+    def cut(self, lengths):
+        """None if all is as it has to be, else what is not."""
+        files = dict(self.image)
+        for name, length in lengths.items():
+            files[name] = files[name][:length]
+        history = History()
+        history.batches = self.day.history.batches
+        history.confirmed = self.confirmed_at(lengths)
+        try:
+            engine = self.day.open(FaultyDisk(files), create=False)
+        except (DamagedError, UnfitError) as told:
+            self.outcomes["told as damaged"] += 1
+            # a segment's going is noted in the newest one: with that cut off, the one that went is missing
+            went = "is part of the store" in str(told) and self.logs[-1] in lengths
+            if not any(name in str(told) for name in lengths) and "no segment" not in str(told) and not went:
+                return f"{lengths}: the finding names another file: {told}"
+            return self.salvaged(files, lengths)
+        except StoreError as wrong:
+            return f"{lengths}: {wrong!r}"
+        self.outcomes["opened"] += 1
+        return history.judge(dict(engine.scan()), self.day.now)
+
+    def salvaged(self, files, lengths):
+        into = FaultyDisk()
+        try:
+            salvage(FaultyDisk(files), into, lambda: self.day.now, random.Random(1), "old", "new", LARGE)
+        except UnfitError:
+            return None if not any(length for length in lengths.values()) else f"{lengths}: not salvaged"
+        found = dict(self.day.open(into).scan())
+        if strangers := set(found.items()) - self.ever:
+            return f"{lengths}: salvage made up {strangers}"
+        now = self.day.now
+        for key, where in self.places.items():
+            name, end = NAME.format(segment_of(where)), offset_of(where) + length_of(where)
+            expiry = where >> 96
+            if key in self.in_batches:
+                # the batch's last frame stands further on: without it none of it counts
+                end = len(self.image[name])
+            if lengths.get(name, end) >= end and not 0 < expiry <= now and found.get(key) != self.whole[key]:
+                return f"{lengths}: {key!r} stands whole, and salvage has {found.get(key)!r}"
+        return None
+
+    def single(self, share):
+        for name in sorted(self.image):
+            if name != "reserve":
+                for length in range(0, len(self.image[name]), share):
+                    yield {name: length}
+
+    def pairs(self, share):
+        first, second = self.logs[-2:]
+        every = itertools.product(range(len(self.image[first])), range(len(self.image[second])))
+        for one, two in itertools.islice(every, 0, None, share):
+            yield {first: one, second: two}
+
+
+WAYS = [
+    (point, close, what)
+    for point, close in ((False, False), (True, False), (True, True))
+    for what in ("one file", "last two segments")
+]
+
+
+def run(point, close, what, share, part=0, parts=1):
+    """Every `parts`th of the cuts: offsets tried, opened, damage told, and all that was wrong."""
+    cutter = Cutter(point, close)
+    cuts = cutter.single(max(1, share // 10)) if what == "one file" else cutter.pairs(share)
+    verdicts = [cutter.cut(lengths) for lengths in itertools.islice(cuts, part, None, parts)]
+    counts = [len(verdicts), cutter.outcomes["opened"], cutter.outcomes["told as damaged"]]
+    return counts, [each for each in verdicts if each]
+
+
+@click.command()
+@click.option("--share", type=click.IntRange(min=1), default=1, help="One pair of offsets in so many.")
+@click.option("--processes", type=click.IntRange(min=1), default=os.cpu_count(), help="How many at once.")
+def main(share, processes):
+    begun = time.monotonic()
+    wrong = []
+    click.echo("checkpoint  closed  what was cut off     offsets  opened  told as damaged")
+    with ProcessPoolExecutor(processes) as pool:
+        for point, close, what in WAYS:
+            jobs = [pool.submit(run, point, close, what, share, at, processes) for at in range(processes)]
+            done = [each.result() for each in jobs]
+            tried, opened, told = (
+                sum(column) for column in zip(*(counts for counts, _ in done), strict=True)
+            )
+            wrong += [each for _, found in done for each in found]
+            click.echo(f"{point!s:10}  {close!s:6}  {what:18}  {tried:8}  {opened:6}  {told:15}")
+    for each in wrong[:10]:
+        click.echo(f"WRONG {each}")
+    click.echo(f"{len(wrong)} wrong, {time.monotonic() - begun:.0f} s, {processes} processes")
+    raise SystemExit(1 if wrong else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/store/test_model.py
@@ -0,0 +1,149 @@
+"""The store against a plain dict, in any order of calls that hypothesis thinks of, with cuts and reopenings
+between.
+"""
+
+import random
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lichencleat.store.checkers import visible
+from lichencleat.store.engine import Bounds
+from lichencleat.store.errors import SnapshotGoneError
+from lichencleat.store.faulty import FaultyDisk, PowerCutError, by_chance
+from tests.store.workload import SECOND, Day
+
+keys = st.sampled_from([b"a", b"ab", b"b", b"\x00", b"\xff" * 3, b"abc"])
+values = st.one_of(st.just(b""), st.binary(max_size=60), st.just(b"\xa7\xc5" * 20))
+ttls = st.one_of(st.just(0), st.integers(1, 3 * SECOND))
+SMALL = Bounds(
+    segment_bytes=300, disk_bytes=30_000, entries=50, memory_bytes=100_000, segments=128, undo_entries=8
+)
+
+
+class Model(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.disk = FaultyDisk()
+        self.day = Day(bounds=SMALL)
+        self.day.open(self.disk)
+        self.snapshots = []  # with what each has to show
+
+    def state(self):
+        """What has to be there; the time that counts is the latest that the store has seen."""
+        history = self.day.history
+        return visible(history.after(len(history.batches)), self.day.engine.time)
+
+    @rule(key=keys, value=values, ttl=ttls)
+    def put(self, key, value, ttl):
+        assert self.day.ask((key, value, ttl and self.day.now + ttl)) is None
+
+    @rule(key=keys)
+    def delete(self, key):
+        assert self.day.ask((key, None, 0)) is None
+
+    @rule(changes=st.lists(st.tuples(keys, st.one_of(st.none(), values), st.just(0)), min_size=2, max_size=5))
+    def batch(self, changes):
+        assert self.day.ask(*changes) is None
+
+    @rule(steps=st.integers(1, 30), budget=st.integers(1, 400))
+    def upkeep(self, steps, budget):
+        for _ in range(steps):
+            self.day.engine.step(budget)
+
+    @precondition(lambda self: self.day.engine.pointing is None)
+    @rule()
+    def checkpoint(self):
+        self.day.engine.begin_point()
+
+    @rule(span=st.integers(-SECOND, 2 * SECOND))
+    def clock_moves(self, span):
+        self.day.now += span
+
+    @precondition(lambda self: len(self.snapshots) < 3)
+    @rule()
+    def snapshot(self):
+        taken = self.day.engine.snapshot()
+        history = self.day.history
+        self.snapshots.append((taken, history.after(len(history.batches))))
+
+    @precondition(lambda self: self.snapshots)
+    @rule(prefix=st.sampled_from([b"", b"a", b"\xff"]), most=st.integers(1, 4))
+    def read_snapshot(self, prefix, most):
+        taken, then = self.snapshots.pop(0)
+        found, cursor = [], b""
+        try:
+            while rows := self.day.engine.chunk(taken, cursor, prefix, most):
+                found += rows
+                cursor = rows[-1][0] + b"\0"
+        except SnapshotGoneError:
+            assert not taken.open
+        else:
+            shown = visible(then, self.day.engine.time)
+            assert found == sorted((key, value) for key, value in shown.items() if key.startswith(prefix))
+        self.day.engine.release(taken)
+
+    @rule(point=st.booleans())
+    def close_and_open(self, point):
+        for taken, _ in self.snapshots:
+            self.day.engine.release(taken)
+        self.snapshots = []
+        if point:
+            self.day.engine.begin_point()
+            self.day.upkeep()
+        self.day.engine.close()
+        assert self.disk.open_files == 0 and not self.disk.locked
+        self.day.open(self.disk)
+
+    @rule(seed=st.integers(0, 1 << 16))
+    def cut(self, seed):
+        self.snapshots = []
+        self.disk = self.disk.after_cut(by_chance(random.Random(seed)))
+        self.day.now = max(self.day.now, self.day.engine.time)  # a cut may forget the last second of marks
+        self.day.open(self.disk)
+
+    @rule(calls=st.integers(0, 12), seed=st.integers(0, 1 << 16), key=keys, value=values)
+    def cut_while_writing(self, calls, seed, key, value):
+        self.snapshots = []
+        self.disk.faults = {len(self.disk.calls) + calls: FaultyDisk.CUT}
+        try:
+            for turn in range(6):
+                self.day.ask((key, value, 0), (b"with", b"%d" % turn, 0))
+                self.day.engine.step(200)
+        except PowerCutError:
+            pass
+        self.disk.faults = {}
+        self.day.now = max(self.day.now, self.day.engine.time)
+        self.disk = self.disk.after_cut(by_chance(random.Random(seed)))
+        engine = self.day.open(self.disk)
+        found = dict(engine.scan())
+        history = self.day.history
+        assert history.judge(found, engine.time) is None
+        if found != self.state():  # the one under way is not there: asked for no more
+            history.batches = history.batches[: history.confirmed]
+        history.confirms()  # what recovery gave back stays
+
+    @invariant()
+    def entries_are_the_models(self):
+        engine = self.day.engine
+        engine.tick()
+        assert dict(engine.scan()) == self.state()
+        assert sum(engine.index.live.values()) == sum(
+            each & 0xFFFFFFFF for each in engine.index.places.values()
+        )
+
+    def teardown(self):
+        self.day.engine.close()
+        assert self.disk.open_files == 0
+
+
+TestModel = Model.TestCase
+TestModel.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    derandomize=True,  # the verdict does not vary
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
