Store: one checksum call a frame, one pass over the entries at a start

Change: the checksum starts from salt, offset and length instead of a second call; one pass over the entries; one append for commits and copies.

--- a/lichencleat/store/checkpoint.py
+++ b/lichencleat/store/checkpoint.py
@@ -13,7 +13,7 @@
 from crc32c import crc32c
 
 from lichencleat.store import frames
-from lichencleat.store.index import BITS, LOW, expiry_of, length_of, offset_of, segment_of
+from lichencleat.store.index import BITS, expiry_of, length_of, offset_of, segment_of
 
 NAME, NEW = "checkpoint", "checkpoint.new"
 ROWS = 4_096  # entries a frame: some 150 KB
@@ -122,11 +122,3 @@
             for s, o, n, e in zip(segments, offsets, lengths, expiries, strict=True)
         ]
     return zip(keys, wheres, strict=True)
-
-
-def sound(places: dict[bytes, int], sizes: dict[int, int]) -> bool:
-    """Does every place lie within a segment that is there? `sizes` are the bytes of each that count."""
-    get = sizes.get
-    return all(
-        (where >> BITS & LOW) + (where & LOW) <= get(where >> 2 * BITS & LOW, -1) for where in places.values()
-    )
--- a/lichencleat/store/engine.py
+++ b/lichencleat/store/engine.py
@@ -244,7 +244,7 @@
                 raise DamagedError(survey.findings)
             self.store = survey.store
             self.time = max(self.clock(), survey.time)
-            places = survey.entries(self.time)
+            places, sums = survey.entries(self.time)
             if survey.findings:
                 raise DamagedError(survey.findings)
             carried = [Record(*each) for each in survey.carried()]
@@ -254,7 +254,7 @@
         self.segments = {each.number: each for each in survey.segments}
         newest = survey.segments[-1]
         self.sequence = newest.end
-        self.index.load(places)
+        self.index.load(places, sums)
         self.counts["torn bytes"] = survey.torn
         self.counts["records carried"] = len(carried)
         if survey.point is not None:
@@ -429,6 +429,19 @@
         """
         if self.time - self.marked >= MARK_EACH or not records:
             records = [Record(frames.MARK, self.time, b""), *records]
+        try:
+            segment, places = self.append(records)
+        except OSError as wrong:
+            return self.told(wrong)
+        self.disk_full = False
+        if records[0].kind == frames.MARK:
+            self.marked = self.time
+        self.counts["records"] += len(records)
+        self.enter(records, places, segment)
+        return None
+
+    def append(self, records: Sequence[Record]) -> tuple[Segment, list[tuple[int, int]]]:
+        """Writes and flushes; offset and length of each. Raises OSError: the segment is then left."""
         try:
             segment = self.writable()
             data, places = segments.encode(records, segment, self.sequence + 1, self.sequence)
@@ -436,18 +449,13 @@
             self.disk.flush(segment.file)
         except OSError as wrong:
             self.distrust(wrong)
-            return self.told(wrong)
-        self.disk_full = False
+            raise
         segment.size += len(data)
         self.count_written(len(data))
+        self.counts["flushes"] += 1
         self.sequence += len(records)
         segment.end = self.sequence
-        if records[0].kind == frames.MARK:
-            self.marked = self.time
-        self.counts["flushes"] += 1
-        self.counts["records"] += len(records)
-        self.enter(records, places, segment)
-        return None
+        return segment, places
 
     def distrust(self, wrong: OSError) -> None:
         """The segment is never written to again: behind its size stands what may be there, or not, or
@@ -683,7 +691,7 @@
             keep.append(Record(frames.GONE, segment.number, b""))
             moves.append(None)
         if keep:
-            self.copy(cleaning, keep, moves)
+            self.copy(keep, moves)
         if done:
             self.cleaning = None
             self.drop(segment)
@@ -764,32 +772,20 @@
             return None
         return Record(frames.DELETE, born, key) if upkeep.tomb_needed(born, others) else None
 
-    def copy(self, cleaning: Cleaning, keep: list[Record], moves: list[tuple[bytes, int] | None]) -> None:
+    def copy(self, keep: list[Record], moves: list[tuple[bytes, int] | None]) -> None:
         """One write and one flush; the reserve's room is used where the disk is full. Raises OSError."""
-        begun = cleaning.offset
-        for _ in range(2):
+        written = self.counts["bytes written"]
+        try:
             try:
-                segment = self.writable()
-                data, places = segments.encode(keep, segment, self.sequence + 1, self.sequence)
-                self.disk.append(segment.file, data)
-                self.disk.flush(segment.file)
-                break
+                segment, places = self.append(keep)
             except OSError as wrong:
-                self.distrust(wrong)
                 if wrong.errno not in DISK_FULL or not self.release_reserve():
-                    self.cleaning = None  # begun anew another time: nothing was taken away
                     raise
-        else:
-            self.cleaning = None
-            raise OSError(
-                errno.ENOSPC, f"no room for what segment {cleaning.segment.number} holds at {begun}"
-            )
-        segment.size += len(data)
-        self.count_written(len(data))
-        self.counts["flushes"] += 1
-        self.counts["bytes copied"] += len(data)
-        self.sequence += len(keep)
-        segment.end = self.sequence
+                segment, places = self.append(keep)
+        except OSError:
+            self.cleaning = None  # begun anew another time: nothing was taken away
+            raise
+        self.counts["bytes copied"] += self.counts["bytes written"] - written
         with self.guard:
             for record, move, (offset, length) in zip(keep, moves, places, strict=True):
                 if move is not None:
--- a/lichencleat/store/frames.py
+++ b/lichencleat/store/frames.py
@@ -21,7 +21,10 @@
 FILE_HEAD = len(LOG_MAGIC) + 1 + SALT  # bytes: magic, version, salt
 MARKER = b"\xa7\xc5"  # begins a frame, so that a search for the next one runs in C
 HEAD = struct.Struct("<2sII")  # marker, length of the body, checksum
-PLACE = struct.Struct("<QI")  # what the checksum begins with after the salt: offset, length
+SPREAD, ALL = (
+    2_654_435_769,
+    0xFFFFFFFF,
+)  # spreads lengths over the checksum's 32 bits (2^32 over the golden ratio)
 KEY_MOST = 65_536  # bytes: a key lives in memory
 VALUE_MOST = 16 << 20  # bytes
 BODY_MOST = VALUE_MOST + KEY_MOST + 64  # bytes: both and the numbers about them
@@ -57,7 +60,7 @@
 
 def checksum(salt: int, offset: int, body: bytes | memoryview) -> int:
     """`salt` is the checksum of the file's salt: computed once a file."""
-    return crc32c(body, crc32c(PLACE.pack(offset, len(body)), salt))
+    return crc32c(body, (salt + offset + len(body) * SPREAD) & ALL)
 
 
 def frame(salt: int, offset: int, body: bytes) -> bytes:
@@ -82,7 +85,7 @@
     base, data = start, b""
     at = start
     head, most = HEAD.size, BODY_MOST
-    unpack, place = HEAD.unpack_from, PLACE.pack
+    unpack = HEAD.unpack_from
     view = memoryview(data)
     while at + head <= size:
         here = at - base
@@ -101,7 +104,7 @@
             if len(data) < end:
                 return
         body = view[here + head : end]
-        if crc32c(body, crc32c(place(at, length), salt)) != check:
+        if crc32c(body, (salt + at + length * SPREAD) & ALL) != check:
             return
         yield at, head + length, body
         at += head + length
@@ -138,6 +141,8 @@
     """Every whole frame at or after `start`, past whatever lies between them."""
     at: int | None = start
     while (at := next_frame(read, at, size, salt)) is not None:
+        begun = at
         for offset, length, body in bodies(read, at, size, salt):
             yield offset, length, body
             at = offset + length
+        at = max(at, begun + 1)  # a read that gives other bytes the second time may not stop the search
--- a/lichencleat/store/index.py
+++ b/lichencleat/store/index.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from itertools import islice, takewhile
 
 from sortedcontainers import SortedDict, SortedList
@@ -43,6 +44,34 @@
     return 0 < where >> 3 * BITS <= now
 
 
+@dataclass(slots=True)
+class Sums:
+    """What a start has to know of all entries, from one pass over them."""
+
+    live: dict[int, int]  # segment -> bytes of the frames that entries point at
+    ends: dict[int, int]  # segment -> where the last of these ends
+    earliest: int  # µs: the earliest expiry, 0 where none
+
+
+def sum_up(places: dict[bytes, int]) -> Sums:
+    live: dict[int, int] = {}
+    ends: dict[int, int] = {}
+    earliest = 0
+    for where in places.values():
+        segment, length = where >> 2 * BITS & LOW, where & LOW
+        end = (where >> BITS & LOW) + length
+        if segment in live:
+            live[segment] += length
+            if end > ends[segment]:
+                ends[segment] = end
+        else:
+            live[segment], ends[segment] = length, end
+        expiry = where >> 3 * BITS
+        if expiry and (expiry < earliest or not earliest):
+            earliest = expiry
+    return Sums(live, ends, earliest)
+
+
 class Index:
     def __init__(self, undo_most: int = UNDO_MOST) -> None:
         self.places: dict[bytes, int] = {}
@@ -56,20 +85,12 @@
     def __len__(self) -> int:
         return len(self.places)
 
-    def load(self, places: dict[bytes, int]) -> None:
-        """Takes over all entries at once, as a start finds them."""
+    def load(self, places: dict[bytes, int], sums: Sums) -> None:
+        """Takes over all entries at once, as a start finds them, with what `sum_up` says of them."""
         self.places = places
         self.order = SortedList(places)
         self.memory = sum(map(len, places)) + ENTRY_BYTES * len(places)
-        live: dict[int, int] = {}
-        earliest = 0
-        for where in places.values():
-            segment = where >> 2 * BITS & LOW
-            live[segment] = live.get(segment, 0) + (where & LOW)
-            expiry = where >> 3 * BITS
-            if expiry and (expiry < earliest or not earliest):
-                earliest = expiry
-        self.live, self.earliest = live, earliest
+        self.live, self.earliest = sums.live, sums.earliest
 
     def get(self, key: bytes, now: int) -> int | None:
         where = self.places.get(key)
--- a/lichencleat/store/inspect.py
+++ b/lichencleat/store/inspect.py
@@ -65,7 +65,7 @@
         checked.segments = len(survey.segments)
         if not survey.findings and survey.segments:
             checked.in_doubt = len(survey.carried())
-            entries = survey.entries(now)
+            entries, _ = survey.entries(now)
             checked.entries = sum(not expired(where, now) for where in entries.values()) + checked.in_doubt
             if point is not None:
                 checked.checkpoint = f"covers {point.sequence}"
@@ -98,7 +98,7 @@
     for each in survey.segments:
         each.tombs = 0
     survey.point = point
-    by_point = survey.entries(now)
+    by_point, _ = survey.entries(now)
     if survey.point is None:
         return  # it does not fit this log: old, which costs time only
     for key in sorted({*entries, *by_point}):
--- a/lichencleat/store/recovery.py
+++ b/lichencleat/store/recovery.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -16,7 +16,7 @@
 from lichencleat.store import checkpoint, frames
 from lichencleat.store.disk import Disk
 from lichencleat.store.errors import DamagedError, Finding, UnfitError
-from lichencleat.store.index import expired, place, segment_of
+from lichencleat.store.index import BITS, Sums, expired, segment_of, sum_up
 from lichencleat.store.segments import NAME, NEW, Segment, read_head
 from lichencleat.store.tail import Tail
 
@@ -25,9 +25,6 @@
 TEMPORARY = (NEW, STORE_NEW, checkpoint.NEW)
 OWN = frozenset([STORE, RESERVE, checkpoint.NAME, *TEMPORARY])
 
-Sink = Callable[[Segment, int, int, int, int, int, bytes], None]
-"""Takes segment, offset, length, sequence, kind, number, key of each record that counts, in their order."""
-
 
 def is_segment(name: str) -> bool:
     digits = name.removesuffix(".log")
@@ -213,10 +210,8 @@
         if end < segment.size:
             self.finds(segment.name, end, "bytes that are no frame where confirmed records stood")
 
-    def replay(self, sink: Sink) -> None:
-        """Every record that counts and that the checkpoint does not cover, in order, the newest segment's
-        proved part too.
-        """
+    def replay(self) -> Iterator[tuple[Segment, int, int, int, int, int, bytes]]:
+        """Every record that counts and that the checkpoint does not cover, in order, with its segment."""
         point = self.point
         for segment in self.segments:
             offset, sequence = segment.start, segment.first
@@ -227,36 +222,36 @@
                 if segment.number == point.newest:
                     offset, sequence = point.offset, point.sequence + 1
                     segment.tombs = point.tombs.get(segment.number, 0)
-            for at, length, found, kind, number, key in self.walk(segment, offset, sequence):
-                sink(segment, at, length, found, kind, number, key)
+            for record in self.walk(segment, offset, sequence):
+                yield segment, *record
 
-    def entries(self, now: int) -> dict[bytes, int]:
+    def entries(self, now: int) -> tuple[dict[bytes, int], Sums]:
         """All entries: the checkpoint's and what came since. A checkpoint that does not fit is left alone."""
         point = self.point
         places: dict[bytes, int] = point.places if point is not None else {}
-        self.segments[-1].tombs = 0
-
-        def sink(
-            segment: Segment, at: int, length: int, sequence: int, kind: int, number: int, key: bytes
-        ) -> None:
-            if kind in (frames.PUT, frames.BATCH_PUT):
-                places[key] = place(segment.number, at, length, number)
+        newest = self.segments[-1]
+        newest.tombs = 0
+        puts = (frames.PUT, frames.BATCH_PUT)
+        for segment, at, length, _, kind, number, key in self.replay():
+            if kind in puts:
+                places[key] = ((number << BITS | segment.number) << BITS | at) << BITS | length
             else:
                 places.pop(key, None)
-                if segment is self.segments[-1]:  # of sealed ones, a newer head or the checkpoint tells
+                if segment is newest:  # of sealed ones, a newer head or the checkpoint tells
                     segment.tombs += length
-
-        self.replay(sink)
+        sums = sum_up(places)
         if point is not None:
             sizes = {each.number: each.size for each in self.segments}
-            strays = [key for key, where in places.items() if segment_of(where) not in sizes]
-            for key in strays:  # their segment went since: a value that had expired is dropped with it
-                if expired(places[key], now):
-                    del places[key]
-            if not checkpoint.sound(places, sizes):
+            if not sums.live.keys() <= sizes.keys():
+                strays = [key for key, where in places.items() if segment_of(where) not in sizes]
+                for key in strays:  # their segment went since: a value that had expired is dropped with it
+                    if expired(places[key], now):
+                        del places[key]
+                sums = sum_up(places)
+            if any(end > sizes.get(number, -1) for number, end in sums.ends.items()):
                 self.point = None
                 return self.entries(now)
-        return places
+        return places, sums
 
     def unsealed(self) -> bool:
         """Must what is in doubt be written anew before anything else rests on it? So with a segment's going,
