--- a/tests/store/test_cuts.py
+++ b/tests/store/test_cuts.py
@@ -284,4 +284,5 @@
     day.upkeep()
     day.open(FaultyDisk(disk.image()))
     day.ask((b"b", b"2", 0))
+    day.ask((b"c", b"3", 0))  # proves the one before it
     assert violations([FaultyDisk(day.engine.disk.image())], day) == []
--- a/tests/store/workload.py
+++ b/tests/store/workload.py
@@ -63,6 +63,9 @@
             self.ask((b"k%d" % turn, None, 0))
             self.now += SECOND // 2
             self.upkeep()
+        for n in range(4):  # whole segments without anything that lives: they go without a copy
+            self.ask((b"again", b"%d" % n * 350, 0))
+            self.upkeep()
         if point:
             with contextlib.suppress(OSError):
                 self.engine.begin_point()
