--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -17,7 +17,7 @@
 from lichencleat.cli import output
 from lichencleat.store import bench
 from lichencleat.store.disk import RealDisk
-from lichencleat.store.engine import Batch, Bounds
+from lichencleat.store.engine import Batch, Bounds, Engine
 
 VALUE = 128  # bytes
 SECONDS = 2.0  # of each measurement of a rate
@@ -287,7 +287,60 @@
     output.table(["garbage kept at", "written / asked for", "garbage at the end"], rows, False)
 
 
-MEASURES = {"puts": puts, "latency": latency, "open": open_times, "memory": memory, "garbage": garbage}
+def rewritten(path):
+    """One key, a million times: bytes on disk at the end, the most while it went on, seconds."""
+    engine = bench.open_engine(path, Bounds(disk_bytes=256 << 20, reserve=False))
+    begun, most = time.monotonic(), 0
+    for at in range(0, 1_000_000, 250):
+        for verdict in engine.commit([Batch().put(b"key", b"%0128d" % n) for n in range(at, at + 250)]):
+            if verdict is not None:
+                raise verdict
+        engine.step()
+        most = max(most, engine.total())
+    while engine.step():
+        pass
+    return engine.total(), most, time.monotonic() - begun
+
+
+def expired(path):
+    """Ten million records that expire together: bytes on disk before and after, seconds of upkeep, longest
+    step (ms).
+    """
+    at_end = [bench.now() + 10**15]
+    engine = Engine.open(RealDisk(path, create=True), lambda: at_end[0], random.Random(1), LARGE, create=True)
+    for at in range(0, 10_000_000, 1000):
+        engine.commit([Batch().put(b"%016d" % n, b"", at_end[0] + 1) for n in range(at, at + 1000)])
+        if at % 100_000 == 0:
+            engine.step(1 << 20)
+    before, begun, longest = engine.total(), time.monotonic(), 0.0
+    at_end[0] += 2 + 10_000_000 * 10  # past the expiry, and past the rest between two sweeps
+    while True:
+        one = time.monotonic()
+        left = engine.step()
+        longest = max(longest, time.monotonic() - one)
+        if not left:
+            break
+    return before, engine.total(), time.monotonic() - begun, longest * 1000
+
+
+def extremes(pairs):
+    after, most, spent = alone(rewritten)
+    output.table(
+        ["one key rewritten", "bytes at the end", "most", "s"], [[1_000_000, after, most, spent]], False
+    )
+    before, after, spent, longest = alone(expired)
+    head = ["expired together", "bytes before", "after", "s of upkeep", "longest step, ms"]
+    output.table(head, [[10_000_000, before, after, spent, longest]], False)
+
+
+MEASURES = {
+    "extremes": extremes,
+    "puts": puts,
+    "latency": latency,
+    "open": open_times,
+    "memory": memory,
+    "garbage": garbage,
+}
 
 
 @click.command()
--- a/lichencleat/store/engine.py
+++ b/lichencleat/store/engine.py
@@ -624,15 +624,15 @@
             thorough=self.thorough,
         )
 
-    def step(self, budget: int = STEP) -> bool:
-        """One bounded piece of upkeep, some `budget` bytes read and written; False where nothing is left to
-        do.
+    def step(self, budget: int = STEP) -> int:
+        """One bounded piece of upkeep, some `budget` bytes read and written. Bytes left of the job at hand,
+        by and by 0: nothing is left to do.
 
         Raises StoreError where the disk fails; what was confirmed stays so, and a later step may go on.
         """
         if self.closed:
-            return False
-        now = self.tick()
+            return 0
+        self.tick()
         try:
             if self.cleaning is not None:
                 self.clean(self.cleaning, budget)
@@ -643,14 +643,24 @@
             elif self.pointing is not None and not self.disk_full:
                 self.point(self.pointing, budget)
             else:
-                return self.take_up(upkeep.next_job(self.facts(), now))
+                self.take_up(upkeep.next_job(self.facts(), self.time))
+            return self.left()
         except OSError as wrong:
             if self.pointing is not None:
                 self.point_mark = self.log_bytes  # tried again after as much log, not at once
                 self.give_up_point()
             self.give_up_reserve()
             raise self.told(wrong) from wrong
-        return True
+
+    def left(self) -> int:
+        """Bytes to read or write until the job at hand is done; 1 where there is one of another kind."""
+        if self.cleaning is not None:
+            return max(1, self.cleaning.segment.size - self.cleaning.offset)
+        if self.reserving is not None:
+            return max(1, self.most.reserve_bytes - self.disk.size(self.reserving))
+        if self.sweeping is not None or (self.pointing is not None and not self.disk_full):
+            return max(1, self.index.memory)
+        return int(upkeep.next_job(self.facts(), self.time) is not None)
 
     def clean_all(self) -> None:
         """Every sealed segment with garbage is worth cleaning until none is left: for `store compact
@@ -658,12 +668,11 @@
         """
         self.thorough = True
 
-    def take_up(self, job: upkeep.Job | None) -> bool:
+    def take_up(self, job: upkeep.Job | None) -> None:
         if job is upkeep.Job.CLEAN:
             segment = upkeep.victim(self.facts())
-            if segment is None:
-                return False
-            self.cleaning = Cleaning(segment, segment.start, segment.first)
+            if segment is not None:
+                self.cleaning = Cleaning(segment, segment.start, segment.first)
         elif job is upkeep.Job.SWEEP:
             self.sweeping, self.sweep_earliest = b"", 0
             self.index.earliest = 0  # entries made from now on set it anew
@@ -671,7 +680,6 @@
             self.begin_point()
         elif job is upkeep.Job.RESERVE:
             self.begin_reserve()
-        return job is not None
 
     def clean(self, cleaning: Cleaning, budget: int) -> None:
         """Copies what the segment still holds to the log's end; at its end the segment goes."""
--- a/lichencleat/store/store.py
+++ b/lichencleat/store/store.py
@@ -143,11 +143,11 @@
             else:
                 each.told.errback(verdict)
 
-    def stepped(self, more: bool | Failure) -> None:
+    def stepped(self, left: int | Failure) -> None:
         self.writing = False
-        self.idle = more is not True
-        if isinstance(more, Failure):
-            self.last_trouble = more.getErrorMessage()
+        self.idle = isinstance(left, Failure) or left == 0
+        if isinstance(left, Failure):
+            self.last_trouble = left.getErrorMessage()
         if self.idle and self.again is None and self.closing is None:
             self.again = self.reactor.callLater(REST, self.look)
         self.pull()
@@ -157,10 +157,12 @@
         self.idle = False
         self.pull()
 
-    def step(self, budget: int = STEP) -> Deferred[bool]:
-        """One piece of upkeep, for an owner that drives it itself; False where nothing is left to do."""
+    def step(self, budget: int = STEP) -> Deferred[int]:
+        """One piece of upkeep, for an owner that drives it itself; bytes left, 0 where nothing is left to
+        do.
+        """
         if self.closing is not None:
-            return succeed(False)
+            return succeed(0)
         return self.in_writer(self.engine.step, budget)
 
     # -- reading -----------------------------------------------------------------------------------
