--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -9,7 +9,10 @@
 
 import click
 
-NOUNS = {"store": ("lichencleat.cli.store", "Records that survive cuts: put, get, check, repair.")}
+NOUNS = {
+    "flows": ("lichencleat.cli.flows", "Flow export: a collector that adds up who sent what."),
+    "store": ("lichencleat.cli.store", "Records that survive cuts: put, get, check, repair."),
+}
 EXTRAS = {"crc32c": "store", "msgspec": "store", "sortedcontainers": "store", "hdrh": "bench"}
 
 
--- /dev/null
+++ b/tests/flows/test_export.py
@@ -0,0 +1,397 @@
+"""From the meter to a collector: on a clock with stand-ins for the sockets, and on loopback."""
+
+import json
+import random
+import re
+import socket
+import subprocess
+import sys
+
+import pytest
+from twisted.internet.task import Clock
+
+from lichencleat.flows import exporter as module
+from lichencleat.flows.channel import STATISTICS_EACH, TEMPLATES_EACH, Channel, Wire
+from lichencleat.flows.collector import OTHERS, SENDERS_MOST, TENANTS_MOST, Collector, Sums
+from lichencleat.flows.decode import Read, Session
+from lichencleat.flows.elements import Elements
+from lichencleat.flows.exporter import AGAIN_MOST, REFUSED_SPAN, SLOW_LONG, TICK, Exporter, Link
+from lichencleat.flows.meter import Counts, End, Meter, Record
+from lichencleat.net.deadlines import Deadlines
+from lichencleat.net.report import Report
+
+SECOND = 1_000_000
+HERE, THERE = (b"\x7f\0\0\x01", 8443), (b"\x7f\0\0\x02", 40_000)
+
+
+class Port:
+    def stopListening(self):
+        pass
+
+    def write(self, data):
+        if self.fails:
+            raise OSError("no room")
+        self.sent.append(data)
+
+    def connect(self, host, port):
+        self.address = (host, port)
+
+
+class Stream:
+    """A TCP transport that takes what it is given until it is told not to."""
+
+    def __init__(self):
+        self.sent, self.ended, self.producer = [], "", None
+
+    def registerProducer(self, producer, streaming):
+        self.producer = producer
+
+    def unregisterProducer(self):
+        self.producer = None
+
+    def writeSequence(self, parts):
+        self.sent += parts
+
+    def loseConnection(self):
+        self.ended = "lost"
+
+    def abortConnection(self):
+        self.ended = "aborted"
+
+
+class Reactor(Clock):
+    def __init__(self):
+        super().__init__()
+        self.ports, self.connects = [], []
+
+    def listenUDP(self, number, protocol):
+        port = Port()
+        port.sent, port.fails = [], False
+        protocol.transport = port
+        self.ports.append((port, protocol))
+        protocol.startProtocol()
+        return port
+
+    def connectTCP(self, host, port, factory, timeout):
+        self.connects.append((host, port, factory))
+        return self
+
+    def stopConnecting(self):
+        pass
+
+    def accept(self):
+        """The collector takes the last connection."""
+        protocol = self.connects[-1][2].buildProtocol(None)
+        protocol.transport = Stream()
+        protocol.connectionMade()
+        return protocol
+
+
+@pytest.fixture
+def reactor():
+    return Reactor()
+
+
+@pytest.fixture
+def clock(reactor):
+    return lambda: 1_000 * SECOND + round(reactor.seconds() * SECOND)
+
+
+@pytest.fixture
+def report(clock):
+    return Report("n1", clock)
+
+
+@pytest.fixture
+def deadlines(reactor, report):
+    return Deadlines(reactor, report.trouble)
+
+
+@pytest.fixture
+def meter():
+    return Meter(active=60 * SECOND, idle=15 * SECOND)
+
+
+@pytest.fixture
+def exporter_of(reactor, clock, report, deadlines, meter):
+    def make(*wires, to_all=True, waiting=50):
+        links = []
+        for at, wire in enumerate(wires):
+            channel = Channel(wire, Elements(), 7, 1_400, waiting, clock())
+            link = Link(
+                reactor,
+                clock,
+                deadlines,
+                report,
+                random.Random(1),
+                f"c{at}",
+                ("127.0.0.1", 4739 + at),
+                channel,
+            )
+            links.append(link)
+        made = Exporter(meter, links, clock, deadlines, to_all)
+        made.start()
+        return made
+
+    return make
+
+
+def flow(meter, now, octets=100, tenant="mainz1"):
+    one = meter.opened(now, THERE, HERE)
+    meter.belongs(now, one, tenant, 3)
+    one.received(now, octets)
+    one.sent(now, 2 * octets)
+    one.counts.honoured += 1
+    meter.ended(now, one)
+
+
+def read(messages):
+    session, sums = Session(Elements()), Sums()
+    for each in messages:
+        for record in session.datagram(each):
+            sums.take(record)
+    return sums, session.counts
+
+
+def ticks(reactor, count=1):
+    for _ in range(count):
+        reactor.advance(TICK / SECOND)
+
+
+@pytest.mark.parametrize("wire", [Wire.IPFIX_UDP, Wire.NETFLOW9_UDP])
+def test_over_udp_templates_come_first_and_again(reactor, clock, meter, exporter_of, wire):
+    exporter_of(wire)
+    ((port, _),) = reactor.ports
+    flow(meter, clock())
+    ticks(reactor)
+    sums, _ = read(port.sent)
+    assert (sums.total.octets, sums.by_tenant["mainz1"].octets) == (300, 300)
+    before = len(port.sent)
+    reactor.pump([1] * (TEMPLATES_EACH // SECOND + 1))
+    flow(meter, clock())
+    ticks(reactor)
+    sums, counts = read(port.sent[before:])  # as a collector that was restarted sees it
+    assert sums.total.octets == 300 and counts["sets without a template dropped"] == 0
+    assert sums.exporters  # its own figures came, too
+
+
+def test_a_refusal_stops_sending_for_a_while_and_nothing_is_missing_after(
+    reactor, clock, meter, exporter_of, report
+):
+    exporter = exporter_of(Wire.IPFIX_UDP)
+    ((port, protocol),) = reactor.ports
+    ticks(reactor)
+    protocol.connectionRefused()
+    sent = len(port.sent)
+    for _ in range(80):  # 30 more than may wait
+        flow(meter, clock())
+    ticks(reactor, 2)
+    assert len(port.sent) == sent and not exporter.links[0].alive()
+    assert len(exporter.links[0].channel.pressure.queue) == 50
+    ticks(reactor, REFUSED_SPAN // TICK)
+    sums, _ = read(port.sent[sent:])
+    assert sums.total.octets == 80 * 300 and sums.total.honoured == 80
+    assert sums.total.folded == 30 and report.counts["flows refusals"] == 1
+
+
+def test_a_tcp_collector_that_is_not_there_is_tried_again_ever_later(
+    reactor, clock, meter, exporter_of, report
+):
+    exporter = exporter_of(Wire.IPFIX_TCP)
+    for _ in range(200):
+        flow(meter, clock())
+        reactor.connects[-1][2].clientConnectionFailed(reactor, None)
+        reactor.advance(1)
+    assert 5 < len(reactor.connects) < 25
+    assert exporter.links[0].span <= AGAIN_MOST
+    reactor.pump([1] * 31)
+    stream = reactor.accept()
+    ticks(reactor, 3)
+    sums, counts = read(stream.transport.sent)
+    assert sums.total.octets == 200 * 300 and counts["records lost"] == 0
+
+
+def test_a_tcp_collector_that_takes_nothing_is_given_nothing_and_cut_off(
+    reactor, clock, meter, exporter_of, report
+):
+    exporter = exporter_of(Wire.IPFIX_TCP)
+    stream = reactor.accept()
+    stream.pauseProducing()
+    for _ in range(1_000):
+        flow(meter, clock())
+    ticks(reactor, 10)
+    assert stream.transport.sent == [] and not exporter.links[0].alive()
+    assert len(exporter.links[0].channel.pressure.queue) == 50
+    reactor.pump([1] * (SLOW_LONG // SECOND + 1))
+    assert stream.transport.ended == "aborted"
+    stream.connectionLost()
+    reactor.pump([1] * 2)
+    again = reactor.accept()
+    ticks(reactor, 3)
+    sums, _ = read(again.transport.sent)
+    assert sums.total.octets == 1_000 * 300 and sums.total.folded == 950
+
+
+def test_one_that_goes_on_in_time_is_not_cut_off(reactor, exporter_of):
+    exporter_of(Wire.IPFIX_TCP)
+    stream = reactor.accept()
+    stream.pauseProducing()
+    reactor.advance(1)
+    stream.resumeProducing()
+    reactor.pump([1] * (SLOW_LONG // SECOND + 5))
+    assert stream.transport.ended == ""
+
+
+def test_sequences_and_templates_begin_anew_with_each_tcp_session(reactor, clock, meter, exporter_of):
+    exporter_of(Wire.IPFIX_TCP)
+    for _ in range(2):
+        stream = reactor.accept()
+        for _ in range(5):
+            flow(meter, clock())
+        ticks(reactor, 2)
+        sums, counts = read(stream.transport.sent)
+        assert sums.total.records == 5 and counts["records lost"] == 0
+        assert "sets before their template" not in counts
+        stream.connectionLost()
+        reactor.pump([1] * 3)
+
+
+def test_the_first_collector_that_lives_is_fed_alone(reactor, clock, meter, exporter_of):
+    exporter_of(Wire.IPFIX_TCP, Wire.IPFIX_UDP, to_all=False)
+    ((port, _),) = reactor.ports
+    flow(meter, clock())
+    ticks(reactor)
+    assert read(port.sent)[0].total.records == 1
+    stream = reactor.accept()
+    flow(meter, clock())
+    ticks(reactor)
+    assert read(stream.transport.sent)[0].total.records == 1
+    assert read(port.sent)[0].total.records == 1
+
+
+def test_all_collectors_are_fed_alike(reactor, clock, meter, exporter_of):
+    exporter_of(Wire.NETFLOW9_UDP, Wire.IPFIX_UDP)
+    for _ in range(3):
+        flow(meter, clock())
+    ticks(reactor)
+    assert [read(port.sent)[0].total.octets for port, _ in reactor.ports] == [900, 900]
+
+
+def test_a_drain_keeps_its_budget_with_a_dead_collector(reactor, clock, meter, exporter_of):
+    exporter = exporter_of(Wire.IPFIX_TCP, waiting=500)
+    for _ in range(300):
+        flow(meter, clock())
+    over = []
+    exporter.flush(SECOND).addCallback(over.append)
+    reactor.pump([0.1] * 9)
+    assert over == []
+    reactor.pump([0.1] * 3)
+    assert over == [None] and not reactor.getDelayedCalls()
+    exporter.flush(SECOND).addCallback(over.append)
+    assert over == [None, None]
+
+
+def test_a_drain_is_over_as_soon_as_all_is_told(reactor, clock, meter, exporter_of):
+    exporter = exporter_of(Wire.IPFIX_UDP)
+    ((port, _),) = reactor.ports
+    still_open = meter.opened(clock(), THERE, HERE)
+    still_open.sent(clock(), 77)
+    over = []
+    exporter.flush(SECOND).addCallback(over.append)
+    assert over == [None]
+    sums, _ = read(port.sent)
+    assert sums.total.octets == 77 and sums.exporters
+
+
+def test_a_new_address_gets_what_waits(reactor, clock, meter, exporter_of):
+    exporter = exporter_of(Wire.IPFIX_TCP)
+    flow(meter, clock())
+    ticks(reactor)
+    exporter.links[0].move(("127.0.0.9", 99))
+    assert reactor.connects[-1][:2] == ("127.0.0.9", 99)
+    stream = reactor.accept()
+    ticks(reactor)
+    assert read(stream.transport.sent)[0].total.records == 1
+
+
+def test_no_room_for_a_datagram_is_counted_and_no_more(reactor, clock, meter, exporter_of, report):
+    exporter_of(Wire.IPFIX_UDP)
+    ((port, _),) = reactor.ports
+    port.fails = True
+    flow(meter, clock())
+    ticks(reactor)
+    assert report.counts["flows messages lost"] > 0 and report.counts["node errors"] == 0
+
+
+def test_a_record_that_fits_no_message_is_left_out_alone(clock):
+    channel = Channel(Wire.IPFIX_UDP, Elements(), 7, 600, 50, clock())
+    for number in (1, 1 << 64, 2):
+        nowhere = bytes(4)
+        counts = Counts(octets_in=5)
+        channel.pressure.offer(Record(number, nowhere, nowhere, 1, 2, "t", 0, 1, 2, End.ENDED, False, counts))
+    sums, _ = read(channel.next_messages(clock()))
+    assert sums.total.records == 2 and channel.unfit == 1
+
+
+def test_statistics_come_though_the_clock_steps_back(clock):
+    channel = Channel(Wire.IPFIX_UDP, Elements(), 7, 1_400, 50, clock())
+    channel.next_messages(clock())
+    assert channel.next_messages(clock() + STATISTICS_EACH)
+    assert channel.next_messages(clock() - 3_600 * SECOND)
+
+
+def test_sums_are_bounded_and_nothing_is_missing_from_the_total():
+    sums, elements = Sums(), Elements()
+    octets, user = elements.named("octetDeltaCount"), elements.named("userName")
+    for n in range(TENANTS_MOST + 10):
+        sums.take(Read(9, 1, 256, 0, 0, 0, [(octets, 1), (user, f"t{n}")]))
+    assert sums.total.octets == TENANTS_MOST + 10 and sums.by_tenant[OTHERS].octets == 10
+
+
+def test_a_collector_forgets_the_sender_longest_silent():
+    collector = Collector(Elements())
+    for n in range(SENDERS_MOST + 5):
+        collector.sender(("127.0.0.1", n)).datagram(b"x")
+    assert len(collector.senders) == SENDERS_MOST
+    assert collector.troubles()["a version that is neither 9 nor 10"] == SENDERS_MOST + 5
+
+
+def test_the_command_adds_up_what_comes_on_loopback():
+    command = [sys.executable, "-m", "lichencleat", "flows", "collect", "--udp", "0", "--tcp", "0", "--json"]
+    channel = Channel(Wire.IPFIX_TCP, Elements(), 7, 1_400, 500, 5 * SECOND)
+    for n in range(300):
+        counts = Counts(octets_in=n, packets_out=1, deferred=1)
+        channel.pressure.offer(
+            Record(n, HERE[0], THERE[0], 1, 2, f"t{n % 3}", 0, 1, 2, End.ENDED, False, counts)
+        )
+    with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True) as collect:
+        ports = [int(each) for each in re.findall(r" (\d+)(?:,|$)", collect.stderr.readline().strip())]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            udp.sendto(b"nothing that is known", ("127.0.0.1", ports[0]))
+        with socket.create_connection(("127.0.0.1", ports[1])) as tcp:
+            while messages := channel.next_messages(6 * SECOND):
+                tcp.sendall(b"".join(messages))
+            tcp.shutdown(socket.SHUT_WR)
+            assert tcp.recv(1) == b""  # it has read all
+        collect.terminate()
+        told = json.loads(collect.communicate()[0])
+    assert {row["tenant"]: row["records"] for row in told["tenants"]} == {"t0": 100, "t1": 100, "t2": 100}
+    assert sum(row["octets"] for row in told["tenants"]) == sum(range(300))
+    assert sum(row["deferred"] for row in told["tenants"]) == 300
+    assert told["counters"]["a version that is neither 9 nor 10"] == 1
+
+
+def test_nothing_to_listen_on_is_wrong_input():
+    command = [sys.executable, "-m", "lichencleat", "flows", "collect"]
+    wrong = subprocess.run(command, capture_output=True, text=True)
+    assert wrong.returncode == 2 and wrong.stderr.count("\n") == 1 and "--udp" in wrong.stderr
+
+
+def test_the_spread_of_tries_is_by_chance_of_the_seed(reactor, clock, report, deadlines):
+    spans = []
+    for seed in (1, 1, 2):
+        channel = Channel(Wire.IPFIX_TCP, Elements(), 7, 1_400, 50, clock())
+        rng = random.Random(seed)
+        link = Link(reactor, clock, deadlines, report, rng, "c", ("127.0.0.1", 1), channel)
+        spans.append([rng.randrange(link.span // module.SPREAD) for _ in range(4)])
+    assert spans[0] == spans[1] != spans[2]
