Flow export, third stage: the operators' file, the node's callers metered, drains flushed

Change: lichencleat/chosen/ reads the operators' YAML file and tells mistakes with their line; the node meters its callers where the file switches it on, and flushes within the time to stop. Off: nothing of it is imported.

--- /dev/null
+++ b/lichencleat/chosen/file.py
@@ -0,0 +1,227 @@
+"""The operators' file: its form, its defaults, and mistakes told with their place."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+import msgspec
+import yaml
+from msgspec import Meta, Struct
+
+VARIABLE = "LICHENCLEAT_FILE"  # of the environment: where a node finds the file
+SIZE_MOST = 1 << 20  # bytes: a file of settings has some kilobytes
+PART = re.compile(r"\.([^.\[]+)|\[(\d+)\]|\[\.\.\.\]")  # of a path as msgspec says it
+
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+
+
+class WrongFileError(Exception):
+    """One line: file, line, path, what is wrong and what would be right."""
+
+
+class CollectorChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    """One collector."""
+
+    address: Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+    wire: Literal["ipfix-udp", "ipfix-tcp", "netflow9-udp"] = "ipfix-udp"
+    name: Name | None = None
+
+    def host_port(self) -> tuple[str, int]:
+        host, _, port = self.address.rpartition(":")
+        return host.strip("[]"), int(port)
+
+
+class FlowsChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    """Flow export. Absent: it is off."""
+
+    collectors: Annotated[list[CollectorChoice], Meta(min_length=1, max_length=8)]
+    enterprise: Annotated[int, Meta(ge=1, le=0xFFFFFFFF)] = 32_473
+    domain: Annotated[int, Meta(ge=0, le=0xFFFFFFFF)] = 1
+    to: Literal["all", "first that lives"] = "all"
+    active_s: Seconds = 60.0
+    idle_s: Seconds = 15.0
+    waiting: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
+    message_bytes: Annotated[int, Meta(ge=512, le=65_000)] = 1_400
+    flush_s: Annotated[float, Meta(ge=0, le=60)] = 0.2
+
+
+class Chosen(Struct, forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    flows: FlowsChoice | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """One value in force, and where it comes from."""
+
+    path: str
+    value: Any
+    origin: str  # "line N" of the file, or "default"
+
+
+class Place:
+    """The file's nodes with their lines, so that a path can be told as one."""
+
+    def __init__(self, root: yaml.Node | None) -> None:
+        self.root = root
+
+    def line(self, path: str) -> int | None:
+        """The line, from 1, of what the path leads to, or of the nearest thing on the way; None for the file
+        itself.
+        """
+        node, line = self.root, None
+        for key, number in PART.findall(path):
+            if isinstance(node, yaml.MappingNode) and key:
+                found = next(((k, v) for k, v in node.value if k.value == key), None)
+                if found is None:
+                    break
+                line, node = found[0].start_mark.line + 1, found[1]
+            elif isinstance(node, yaml.SequenceNode) and number and int(number) < len(node.value):
+                node = node.value[int(number)]
+                line = node.start_mark.line + 1
+            else:
+                break
+        return line
+
+    def key_line(self, path: str, key: str) -> int | None:
+        return self.line(f"{path}.{key}")
+
+
+def read_file(path: str) -> Chosen:
+    """Raises WrongFileError; then nothing of the file is used."""
+    return read_text(path, load(path))[0]
+
+
+def load(path: str) -> str:
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read(SIZE_MOST + 1)
+    except (OSError, UnicodeDecodeError) as wrong:
+        said = wrong.strerror if isinstance(wrong, OSError) else "is no UTF-8 text"
+        raise WrongFileError(f"{path}: {said}; name a YAML file that can be read") from wrong
+    if len(text) > SIZE_MOST:
+        raise WrongFileError(f"{path}: longer than {SIZE_MOST} characters; settings take a few thousand")
+    return text
+
+
+def read_text(path: str, text: str) -> tuple[Chosen, Place]:
+    try:
+        place = Place(yaml.compose(text, Loader=yaml.SafeLoader))
+        twice(path, place.root)
+        raw = yaml.safe_load(text)
+    except (yaml.YAMLError, RecursionError, ValueError) as wrong:
+        mark = getattr(wrong, "problem_mark", None)
+        line = f", line {mark.line + 1}" if mark else ""
+        what = getattr(wrong, "problem", None) or "can't be read"
+        raise WrongFileError(f"{path}{line}: not YAML: {what}; mend it there") from wrong
+    try:
+        chosen = msgspec.convert({} if raw is None else raw, Chosen, strict=True)
+    except msgspec.ValidationError as wrong:
+        raise WrongFileError(mistake(path, place, str(wrong))) from wrong
+    sense(path, place, chosen)
+    return chosen, place
+
+
+def twice(path: str, root: yaml.Node | None) -> None:
+    """YAML takes the last of two equal keys in silence: here that is a mistake."""
+    waiting = [root]
+    while waiting:
+        node = waiting.pop()
+        if isinstance(node, yaml.MappingNode):
+            seen: set[str] = set()
+            for key, value in node.value:
+                if key.value in seen:
+                    line = key.start_mark.line + 1
+                    raise WrongFileError(f"{path}, line {line}: {key.value!r} stands twice; leave one out")
+                seen.add(key.value)
+                waiting.append(value)
+        elif isinstance(node, yaml.SequenceNode):
+            waiting += node.value
+
+
+def mistake(path: str, place: Place, said: str) -> str:
+    """msgspec's words, with the line; and for an unknown key, those that there are."""
+    what, _, where = said.partition(" - at `")
+    where = where.rstrip("`") or "$"
+    unknown = re.search(r"unknown field `(.+)`", what)
+    if unknown:
+        line = place.key_line(where, unknown[1])
+        known = ", ".join(sorted(fields_at(where)))
+        what = f"unknown key {unknown[1]!r}; known here: {known}"
+    else:
+        line = place.line(where)
+    at = f", line {line}" if line else ""
+    return f"{path}{at}: {where.removeprefix('$').lstrip('.') or 'the file'}: {what}"
+
+
+def fields_at(where: str) -> list[str]:
+    """The keys that the struct at that path has."""
+    kind: Any = Chosen
+    for key, _ in PART.findall(where):
+        if key and isinstance(kind, type) and issubclass(kind, Struct):
+            kind = next(each.type for each in msgspec.structs.fields(kind) if each.name == key)
+            inner = [each for each in getattr(kind, "__args__", ()) if each is not type(None)]
+            kind = inner[0] if inner else kind
+            inner = getattr(kind, "__args__", ())
+            kind = inner[0] if inner else kind
+    return [each.name for each in msgspec.structs.fields(kind)]
+
+
+def sense(path: str, place: Place, chosen: Chosen) -> None:
+    """Values that are each in their form and do not fit together."""
+    flows = chosen.flows
+    if flows is None:
+        return
+    if flows.idle_s > flows.active_s:
+        line = place.line("$.flows.idle_s") or place.line("$.flows.active_s")
+        raise WrongFileError(
+            f"{path}, line {line}: flows.idle_s: {flows.idle_s:g} is over active_s ({flows.active_s:g}); "
+            "a quiet flow has to be told before an open one, so make it smaller"
+        )
+    for at, each in enumerate(flows.collectors):
+        host, port = each.host_port()
+        octets = host.split(".") if "." in host else []
+        if not 0 < port <= 65_535 or any(int(octet) > 255 for octet in octets):
+            line = place.line(f"$.flows.collectors[{at}].address")
+            raise WrongFileError(
+                f"{path}, line {line}: flows.collectors[{at}].address: {each.address} is none; "
+                "write it as 192.0.2.7:4739 (names are not looked up)"
+            )
+
+
+def show(path: str) -> list[Shown]:
+    """Every value in force, defaults included. Raises WrongFileError."""
+    chosen, place = read_text(path, load(path))
+    rows: list[Shown] = []
+
+    def walk(value: Any, where: str) -> None:
+        if isinstance(value, Struct):
+            for name in value.__struct_fields__:
+                walk(getattr(value, name), f"{where}.{name}")
+        elif isinstance(value, list):
+            for at, each in enumerate(value):
+                walk(each, f"{where}[{at}]")
+        else:
+            stated = place.line(where) if has(place.root, where) else None
+            rows.append(Shown(where[2:], value, f"line {stated}" if stated else "default"))
+
+    walk(chosen, "$")
+    return rows
+
+
+def has(node: yaml.Node | None, where: str) -> bool:
+    """Does the file say that value itself?"""
+    for key, number in PART.findall(where):
+        if isinstance(node, yaml.MappingNode) and key:
+            node = next((value for name, value in node.value if name.value == key), None)
+        elif isinstance(node, yaml.SequenceNode) and number and int(number) < len(node.value):
+            node = node.value[int(number)]
+        else:
+            return False
+        if node is None:
+            return False
+    return True
--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -10,10 +10,11 @@
 import click
 
 NOUNS = {
+    "config": ("lichencleat.cli.chosen", "The operators' file: check it, show what is in force."),
     "flows": ("lichencleat.cli.flows", "Flow export: a collector that adds up who sent what."),
     "store": ("lichencleat.cli.store", "Records that survive cuts: put, get, check, repair."),
 }
-EXTRAS = {"crc32c": "store", "msgspec": "store", "sortedcontainers": "store", "hdrh": "bench"}
+EXTRAS = {"yaml": "file", "crc32c": "store", "msgspec": "store", "sortedcontainers": "store", "hdrh": "bench"}
 
 
 class Nouns(click.Group):
--- a/lichencleat/flows/exporter.py
+++ b/lichencleat/flows/exporter.py
@@ -57,6 +57,10 @@
     def connectionRefused(self) -> None:
         self.link.refused()
 
+    def stopProtocol(self) -> None:
+        """The reactor closes a connected socket on which a refusal is all that there is to read."""
+        self.link.lost(self)
+
     def datagramReceived(self, data: bytes, addr: Any) -> None:
         # it has nothing to say: not read further
         self.link.report.count("flows", "datagrams from a collector")
@@ -185,12 +189,16 @@
 
     def failed(self, connector: Any) -> None:
         if connector is self.attempt:
+            self.attempt = None  # one that has failed can't be stopped again
             self.report.count("flows", "links failed")
             self.later()
 
-    def lost(self, peer: Tcp) -> None:
+    def lost(self, peer: Udp | Tcp) -> None:
+        """The socket is gone, and not by our own doing."""
         if peer is self.peer:
-            self.peer = None
+            self.peer = self.attempt = None
+            if isinstance(peer, Udp):
+                self.refused()
             self.timers.cancel(self.slow)
             self.slow = None
             self.report.count("flows", "links lost")
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -19,6 +19,7 @@
 LOOK = 20_000  # µs between looks whether all is answered, while leaving
 BELIEFS = 10_000_000  # µs between lines that tell what the node believes: a log stays readable
 CLOSED_BY = 150_000  # µs before the stop by which the program ends in any case
+FLUSHED_BY = 50_000  # µs before the stop by which the last flow records are sent or given up
 CROSSING = 300_000  # µs after goaway for what crosses it, and for the last answers to go out
 
 
@@ -34,7 +35,8 @@
 
 
 class RealNode:
-    def __init__(self, reactor: Any, clock: Any, told: Told) -> None:
+    def __init__(self, reactor: Any, clock: Any, told: Told, chosen: Any = None) -> None:
+        """`chosen`: the operators' file, as chosen.file.Chosen, where the node is told of one."""
         self.reactor, self.clock, self.told = reactor, clock, told
         self.report = Report(told.name, clock)
         self.deadlines = Deadlines(reactor, self.report.trouble)
@@ -51,7 +53,14 @@
             self.catalogue,
             self.report,
         )
-        self.dispatchers = Dispatchers(self.host, self.deadlines, self.report, told.descriptors, told.tenants)
+        self.flows: Any = None
+        if chosen is not None and chosen.flows is not None:
+            from lichencleat.flows.assembly import Flows  # off means not imported: memory counts
+
+            self.flows = Flows(reactor, clock, self.deadlines, self.report, told.seed, chosen.flows)
+        self.dispatchers = Dispatchers(
+            self.host, self.deadlines, self.report, told.descriptors, told.tenants, self.flows
+        )
         self.ended: Deferred = Deferred()
         self.stop_at: int | None = None
 
@@ -60,17 +69,16 @@
         self.interpreter.start().addCallback(self.host.begin)
         self.membership.start(self.reactor, self.told.listen[0])
         self.deadlines.after(BELIEFS, self.tell_beliefs)
+        if self.flows is not None:
+            self.flows.start()
 
     def tell_beliefs(self) -> None:
         """One line with what the node believes, to be compared with what its peers see."""
         self.deadlines.after(BELIEFS, self.tell_beliefs)
-        beliefs = (
-            self.dispatchers.beliefs(),
-            self.host.beliefs(),
-            self.interpreter.beliefs(),
-            self.catalogue.beliefs(),
-            self.membership.beliefs(),
-        )
+        parts = [self.dispatchers, self.host, self.interpreter, self.catalogue, self.membership]
+        beliefs = [each.beliefs() for each in parts]
+        if self.flows is not None:
+            beliefs.append(f"flows: {self.flows.beliefs()}")
         self.report.note("believes: " + "; ".join(beliefs))
 
     def reload(self, told: Told) -> None:
@@ -124,5 +132,14 @@
         self.interpreter.stop()
         self.catalogue.stop()
         self.report.note(f"left with {self.host.owed()} unanswered")
-        self.report.summary()
-        self.ended.callback(None)
+        if self.flows is None:
+            self.over()
+        else:  # only now: all answers are out
+            left = self.stop_at - FLUSHED_BY - self.clock()
+            self.deadlines.after(left, self.over)  # guards the time to stop, whatever happens to the flush
+            self.flows.flush(left).addBoth(self.over)
+
+    def over(self, _: Any = None) -> None:
+        if not self.ended.called:
+            self.report.summary()
+            self.ended.callback(None)
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -82,6 +82,8 @@
         self.closing = False  # nothing more is read from it
         self.unread: Deadline | None = None
         self.idle: Deadline | None = None
+        self.flow: Any = None  # metered, where flow export is switched on
+        self.cut_off = False
 
     def connectionMade(self) -> None:
         self.number = self.door.connections.take(self)
@@ -91,6 +93,8 @@
         self.transport.registerProducer(self, True)
         self.last_traffic = self.door.deadlines.now()
         self.door.strangers[self] = None
+        if self.door.flows is not None:
+            self.flow = self.door.flows.opened(self.transport)
         self.whole_by = self.door.deadlines.after(FIRST_WAIT, self.refuse_all, "nothing whole came in time")
         self.watch_idle()
 
@@ -104,7 +108,9 @@
         cases, self.cases = self.cases, {}
         for case in cases.values():
             self.door.report.count("dispatchers", "lost with their connection")
-            self.door.host.caller_left(case)
+            self.abandon(case)
+        if self.flow is not None:
+            self.door.flows.ended(self.flow, self.cut_off)
 
     # --- a caller that does not read --------------------------------------------------------------
 
@@ -125,13 +131,28 @@
 
     def abort(self, why: str) -> None:
         self.door.report.count("dispatchers", f"aborted: {why}")
-        self.closing = True
+        self.closing = self.cut_off = True
         self.transport.abortConnection()
 
+    def abandon(self, case: Case) -> None:
+        if self.flow is not None:
+            self.flow.counts.abandoned += 1
+            self.add_times(case.inquiry)
+        self.door.host.caller_left(case)
+
+    def add_times(self, inquiry: Inquiry) -> None:
+        """How long it was in hand, and of that since its run began, for its flow."""
+        now, counts = self.door.host.clock(), self.flow.counts
+        begun = now if inquiry.started is None else min(inquiry.started, now)
+        counts.held += max(0, begun - inquiry.arrived)
+        counts.run += now - begun
+
     # --- what comes -------------------------------------------------------------------------------
 
     def dataReceived(self, data: bytes) -> None:
         self.last_traffic = self.door.deadlines.now()
+        if self.flow is not None:
+            self.door.flows.received(self.flow, len(data))
         if self.closing:
             return
         came = False
@@ -167,7 +188,7 @@
                 report.count("dispatchers", "got aborts")
                 case = self.cases.pop(tag, None)
                 if case is not None:
-                    self.door.host.caller_left(case)
+                    self.abandon(case)
             elif words[0] == b"HEALTH":
                 report.count("dispatchers", "got checks")
                 self.send(tag, b"serving" if self.door.host.healthy else b"not_serving", self.said(), b"")
@@ -226,6 +247,8 @@
             raise BadInquiryError(f"fields {words[3][:120]!r}: {wrong!r}") from wrong
         case = Case(inquiry, ident, body, key, partial(self.answer, tag))
         self.cases[tag] = case
+        if self.flow is not None:
+            self.door.flows.belongs(self.flow, said.get(b"t", b""), inquiry.caller)
         host.arrives(case)
 
     def refuse_all(self, why: str) -> None:
@@ -241,8 +264,15 @@
     # --- what goes --------------------------------------------------------------------------------
 
     def answer(self, tag: int, answer: Answer, result: bytes, span: int, last: bool) -> None:
-        if self.cases.pop(tag, None) is None:
+        case = self.cases.pop(tag, None)
+        if case is None:
             return
+        if self.flow is not None:
+            counts = self.flow.counts
+            counts.honoured += answer is Answer.HONOURED
+            counts.deferred += answer is Answer.DEFERRED
+            counts.given_up += answer is Answer.GIVEN_UP
+            self.add_times(case.inquiry)
         fields = self.said()
         if answer is Answer.DEFERRED:
             fields += [b"w=%d" % (span // 1000)] if span else []
@@ -257,7 +287,12 @@
 
     def send(self, tag: int, word: bytes, fields: list[bytes], body: bytes) -> None:
         self.last_traffic = self.door.deadlines.now()
-        self.transport.writeSequence(array(b"%d" % tag, word, b",".join(fields), body))
+        self.write(array(b"%d" % tag, word, b",".join(fields), body))
+
+    def write(self, parts: list[bytes]) -> None:
+        self.transport.writeSequence(parts)
+        if self.flow is not None:
+            self.door.flows.sent(self.flow, sum(map(len, parts)), self.transport)
 
     def end_if_done(self) -> None:
         if self.closing and not self.cases:
@@ -292,7 +327,7 @@
         """The caller sends nothing more here and closes; if it does not, an unused connection is closed."""
         if not self.going and not self.closing:
             self.going = True
-            self.transport.writeSequence(array(b"0", b"goaway"))
+            self.write(array(b"0", b"goaway"))
             self.door.report.count("dispatchers", "sent goaway")
             self.door.deadlines.cancel(self.idle)  # or it would outlast the connection, and keep it in memory
             self.idle = self.door.deadlines.after(CLOSE_AFTER, self.close_unused)
@@ -314,9 +349,12 @@
         report: Report,
         descriptors: int,
         tenants: frozenset[bytes] = frozenset(),
+        flows: Any = None,
     ) -> None:
+        """`flows`: as flows.assembly.Flows, where connections are metered."""
         self.host, self.deadlines, self.report = host, deadlines, report
         self.tenants = tenants
+        self.flows = flows
         self.most = max(1, descriptors - RESERVE)
         self.connections: Slots[Connection] = Slots()
         self.strangers: dict[Connection, None] = {}  # those of whom nothing whole has come, oldest first
--- a/lichencleat/net/program.py
+++ b/lichencleat/net/program.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
@@ -58,13 +59,30 @@
         node.report.note(f"{bad}; the one before stays in force")
 
 
+def read_chosen(environment: Mapping[str, str]) -> Any:
+    """The operators' own file, where the node is told of one. Off means not imported: memory counts."""
+    path = environment.get("LICHENCLEAT_FILE")
+    if not path:
+        return None
+    try:
+        from lichencleat.chosen.file import WrongFileError, read_file
+    except ModuleNotFoundError as missing:
+        raise BadInputError(
+            f"LICHENCLEAT_FILE: needs {missing.name}: pip install 'lichencleat[file]'"
+        ) from missing
+    try:
+        return read_file(path)
+    except WrongFileError as wrong:
+        raise BadInputError(f"LICHENCLEAT_FILE: {wrong}") from wrong
+
+
 def main() -> int:
     reactor = Reactor()
     installReactor(reactor)
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: reload(node)))
     try:
         told = read_told(os.environ)
-        node = RealNode(reactor, UnixClock(), told)
+        node = RealNode(reactor, UnixClock(), told, read_chosen(os.environ))
         observe(node.report)
         node.ended.addCallback(lambda _: reactor.callLater(0, reactor.stop))
         for told_to_leave in (signal.SIGTERM, signal.SIGINT):
--- a/tests/flows/test_export.py
+++ b/tests/flows/test_export.py
@@ -194,6 +194,17 @@
     assert sums.total.folded == 30 and report.counts["flows refusals"] == 1
 
 
+def test_a_udp_socket_that_the_reactor_closes_is_opened_again(reactor, clock, meter, exporter_of, report):
+    exporter = exporter_of(Wire.IPFIX_UDP)
+    ((_, protocol),) = reactor.ports
+    protocol.stopProtocol()
+    flow(meter, clock())
+    ticks(reactor, 3)
+    assert not exporter.links[0].alive() and report.counts["node errors"] == 0
+    ticks(reactor, 20)
+    assert len(reactor.ports) == 2 and read(reactor.ports[1][0].sent)[0].total.records == 1
+
+
 def test_a_tcp_collector_that_is_not_there_is_tried_again_ever_later(
     reactor, clock, meter, exporter_of, report
 ):
