Flow export: links metered where the file says so, collectors moved by reload

Change: a wrapper of the node's own connections (Twisted's policies), SIGHUP reads the operators' file too, both files before anything is taken over. Result, measured on sockets: a call's octets are told on both links; a reload moves the collector, a wrong file changes nothing.

--- a/lichencleat/chosen/file.py
+++ b/lichencleat/chosen/file.py
@@ -46,6 +46,7 @@
     waiting: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
     message_bytes: Annotated[int, Meta(ge=512, le=65_000)] = 1_400
     flush_s: Annotated[float, Meta(ge=0, le=60)] = 0.2
+    links: bool = False  # meter the links to the interpreter and calls below, too
 
 
 class Chosen(Struct, forbid_unknown_fields=True, frozen=True):
--- a/lichencleat/flows/assembly.py
+++ b/lichencleat/flows/assembly.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 
 from lichencleat.chosen.file import FlowsChoice
 from lichencleat.flows.channel import Channel, Wire
@@ -49,6 +50,7 @@
             name = each.name or f"collector {at + 1}"
             links.append(Link(reactor, clock, timers, report, rng, name, each.host_port(), channel))
         self.exporter = Exporter(self.meter, links, clock, timers, to_all=chosen.to == "all")
+        self.chosen = chosen
 
     def start(self) -> None:
         self.exporter.start()
@@ -73,6 +75,31 @@
     def ended(self, flow: Flow, cut_off: bool) -> None:
         self.meter.ended(self.clock(), flow, End.LACK if cut_off else End.ENDED)
 
+    def metered(self, factory: Any) -> Any:
+        """The same factory for connections that the node begins, each metered as a flow."""
+        return Metering(self, factory)
+
+    def reload(self, chosen: FlowsChoice | None) -> str:
+        """Takes over the collectors' addresses; what waits goes there. In words what was done, and what needs
+        a restart.
+        """
+        if chosen is None or len(chosen.collectors) != len(self.chosen.collectors):
+            return "flows changed, which needs a restart"
+        moved = 0
+        for link, each in zip(self.exporter.links, chosen.collectors, strict=True):
+            moved += link.address != each.host_port()
+            link.move(each.host_port())
+        fixed = [
+            (self.chosen, chosen, [n for n in chosen.__struct_fields__ if n != "collectors"]),
+            *(
+                (old, new, ["wire"])
+                for old, new in zip(self.chosen.collectors, chosen.collectors, strict=True)
+            ),
+        ]
+        waits = sorted({n for old, new, names in fixed for n in names if getattr(old, n) != getattr(new, n)})
+        late = f"; flows: {', '.join(waits)} changed, which needs a restart" if waits else ""
+        return f"{moved} collectors moved{late}"
+
     def flush(self, left: int) -> Deferred[None]:
         """The last records, within the budget and what is left of the time to stop (µs)."""
         return self.exporter.flush(max(0, min(self.budget, left)))
@@ -81,6 +108,51 @@
         return self.exporter.beliefs()
 
 
+class Metered(ProtocolWrapper):
+    """A connection that the node began: what it writes goes from source to target."""
+
+    flow: Flow | None = None
+
+    def makeConnection(self, transport: Any) -> None:
+        flows = self.factory.flows
+        peer, host = transport.getPeer(), transport.getHost()
+        self.flow = flows.meter.opened(
+            flows.clock(), (packed(host.host), host.port), (packed(peer.host), peer.port)
+        )
+        super().makeConnection(transport)
+
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        self.flow.received(self.factory.flows.clock(), len(data))
+
+    def writeSequence(self, data: Any) -> None:
+        parts = list(data)
+        super().writeSequence(parts)
+        self.flow.received(self.factory.flows.clock(), sum(map(len, parts)))
+
+    def dataReceived(self, data: bytes) -> None:
+        self.flow.sent(self.factory.flows.clock(), len(data))
+        super().dataReceived(data)
+
+    def connectionLost(self, reason: Any) -> None:
+        self.factory.flows.meter.ended(self.factory.flows.clock(), self.flow)
+        super().connectionLost(reason)
+
+
+class Metering(WrappingFactory):
+    noisy = False
+    protocol = Metered
+
+    def __init__(self, flows: Flows, factory: Any) -> None:
+        super().__init__(factory)
+        self.flows = flows
+
+    def buildProtocol(self, addr: Any) -> Metered | None:
+        """A factory may refuse the connection; Twisted's own wrapper does not expect that."""
+        inner = self.wrappedFactory.buildProtocol(addr)
+        return None if inner is None else self.protocol(self, inner)
+
+
 def packed(host: str) -> bytes:
     return socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
 
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -58,6 +58,8 @@
             from lichencleat.flows.assembly import Flows  # off means not imported: memory counts
 
             self.flows = Flows(reactor, clock, self.deadlines, self.report, told.seed, chosen.flows)
+            if chosen.flows.links:
+                self.interpreter.wrap = self.catalogue.wrap = self.flows.metered
         self.dispatchers = Dispatchers(
             self.host, self.deadlines, self.report, told.descriptors, told.tenants, self.flows
         )
@@ -81,7 +83,7 @@
             beliefs.append(f"flows: {self.flows.beliefs()}")
         self.report.note("believes: " + "; ".join(beliefs))
 
-    def reload(self, told: Told) -> None:
+    def reload(self, told: Told, chosen: Any = None) -> None:
         """Takes over new addresses and the time to stop; what else changed is told, as it needs a restart."""
         moves = {
             "interpreter": self.interpreter.move(told.interpreter),
@@ -100,7 +102,8 @@
         self.report.count("node", "configurations read")
         moved = ", ".join(name for name, did in moves.items() if did) or "nothing"
         late = f"; {', '.join(waits)} changed, which needs a restart" if waits else ""
-        self.report.note(f"configuration read again: {moved} moved{late}")
+        flows = f"; {self.flows.reload(chosen.flows if chosen else None)}" if self.flows is not None else ""
+        self.report.note(f"configuration read again: {moved} moved{late}{flows}")
 
     def leave(self) -> None:
         """The notice to leave: only the first one counts."""
--- a/lichencleat/net/catalogue.py
+++ b/lichencleat/net/catalogue.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -179,6 +180,7 @@
         self, reactor: Any, address: tuple[str, int] | None, deadlines: Deadlines, report: Report
     ) -> None:
         self.reactor, self.address = reactor, address
+        self.wrap: Callable[[Any], Any] = lambda factory: factory  # meters the links, where flow export does
         self.deadlines, self.report = deadlines, report
         self.links: OrderedDict[Link, None] = OrderedDict()  # those that take calls, the last used at the end
 
@@ -194,7 +196,7 @@
         if link is None:
             link = Link(self)
             self.links[link] = None
-            connector = self.reactor.connectTCP(*self.address, Connecting(link), timeout=None)
+            connector = self.reactor.connectTCP(*self.address, self.wrap(Connecting(link)), timeout=None)
             link.reached_by = self.deadlines.after(CONNECT_WAIT, connector.stopConnecting)
         call = Call(ident, link, span, body)
         link.place(call)
--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -102,6 +102,7 @@
 class Interpreter:
     def __init__(self, reactor: Any, address: tuple[str, int], deadlines: Deadlines, report: Report) -> None:
         self.reactor, self.address = reactor, address
+        self.wrap: Callable[[Any], Any] = lambda factory: factory  # meters the links, where flow export does
         self.deadlines, self.report = deadlines, report
         self.runs: dict[bytes, Run] = {}
         self.last_notice = self.tops = 0
@@ -125,7 +126,7 @@
             self.deadlines.cancel(self.again)
             self.deadlines.cancel(self.reached_by)
             self.connecting = Connecting(self)
-            connector = self.reactor.connectTCP(*self.address, self.connecting, timeout=None)
+            connector = self.reactor.connectTCP(*self.address, self.wrap(self.connecting), timeout=None)
             self.reached_by = self.deadlines.after(CONNECT_WAIT, connector.stopConnecting)
 
     def reached(self) -> Link:
--- a/lichencleat/net/program.py
+++ b/lichencleat/net/program.py
@@ -53,7 +53,8 @@
 def reload(node: RealNode) -> None:
     """Guards against a file that is missing, half written or wrong: the one before stays in force."""
     try:
-        node.reload(read_told(os.environ))
+        told, chosen = read_told(os.environ), read_chosen(os.environ)  # both, before anything is taken over
+        node.reload(told, chosen)
     except BadInputError as bad:
         node.report.count("node", "configurations refused")
         node.report.note(f"{bad}; the one before stays in force")
--- a/tests/flows/test_node.py
+++ b/tests/flows/test_node.py
@@ -131,6 +131,56 @@
     assert not {"records lost", "packets lost"} & set(told["counters"])
 
 
+def test_links_are_metered_where_the_file_says_so(tmp_path, started, collect):
+    program = started(chosen(tmp_path, (collect.udp, "ipfix-udp"), links=True, flush_s=0.5))
+    caller = Caller(program.ready())
+    caller.send(inquiry(1, b"look", IDS[0], b"x" * 100))
+    program.interpreter.next()
+    program.interpreter.notice(b"AWAIT " + IDS[0].encode(), b"c" * 1_000)
+    peer, _, _ = program.catalogue.next()
+    peer.send(b"%s DATA 2000\r\n%s\r\n" % (IDS[0].encode(), b"r" * 2_000))
+    program.interpreter.next()
+    program.interpreter.notice(b"VALUE %s PASS 5" % IDS[0].encode(), b"done")
+    assert caller.answer()[3] == b"done"
+    program.leave()
+    assert caller.answer() == [b"0", b"goaway"]
+    caller.peer.close()
+    code, counters, _ = program.end()
+    told = collect.end()
+    octets = sum(row["octets"] for row in told["tenants"])
+    assert code == 0 and counters.get("node errors", 0) == 0
+    # a call and its reply cross two links each
+    assert octets > caller.sent + caller.got + 2 * (1_000 + 2_000)
+
+
+def test_a_reload_moves_the_collector_and_a_wrong_file_changes_nothing(tmp_path, started, collect):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as nobody:
+        nobody.bind(("127.0.0.1", 0))
+        path = chosen(tmp_path, (nobody.getsockname()[1], "ipfix-udp"), flush_s=0.5)
+        program = started(path)
+        caller = Caller(program.ready())
+        chosen(tmp_path, (collect.udp, "ipfix-udp"), flush_s=0.5)
+        program.process.send_signal(signal.SIGHUP)
+        read_until(program, "1 collectors moved")
+        with open(path, "a") as file:
+            file.write("\nflowz: 1")
+        program.process.send_signal(signal.SIGHUP)
+        read_until(program, "the one before stays in force")
+        honour(program, caller, IDS[0])
+        program.leave()
+        assert caller.answer() == [b"0", b"goaway"]
+        caller.peer.close()
+        code, counters, _ = program.end()
+        told = collect.end()
+    assert code == 0 and counters["node configurations refused"] == 1 and counters.get("node errors", 0) == 0
+    assert sum(row["honoured"] for row in told["tenants"]) == 1
+
+
+def read_until(program, words):
+    while words not in (line := program.process.stderr.readline()):
+        assert line, f"the program ended without saying {words}"
+
+
 def test_a_dead_collector_holds_up_neither_serving_nor_the_stop(tmp_path, started):
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
