--- a/lichencleat/flows/decode.py
+++ b/lichencleat/flows/decode.py
@@ -277,25 +277,37 @@
         self, template: Template, part: Cursor, found: list[Read], of: tuple[int, int, int, int]
     ) -> None:
         version, domain, seconds, uptime = of
-        least = template.least()
-        while part.left() >= least:  # what is left then is padding (RFC 7011, 3.3.1)
+        least, fields = template.least(), template.fields
+        data, at, end = part.data, part.at, part.end
+        number, scopes, unsigned, text = template.number, template.scopes, Kind.UNSIGNED, Kind.TEXT
+        plan = [(each.element, each.length, each.element.kind) for each in fields]
+        while end - at >= least:  # what is left then is padding (RFC 7011, 3.3.1)
             if len(found) >= RECORDS_MOST:
                 raise BrokenMessageError("more records than a message may have")
-            values = [(each.element, self.value(each, part)) for each in template.fields]
-            found.append(Read(version, domain, template.number, template.scopes, seconds, uptime, values))
+            values: list[tuple[Element, Value]] = []
+            for element, length, kind in plan:
+                if length == VARIABLE:
+                    length, at = self.length(data, at, end)
+                after = at + length
+                if after > end:
+                    raise BrokenMessageError("a field ends behind its set")
+                piece = data[at:after]
+                at = after
+                if kind is unsigned:  # also of fewer bytes than the element has (RFC 7011, 6.2)
+                    values.append((element, int.from_bytes(piece, "big")))
+                elif kind is text:
+                    values.append((element, piece.rstrip(b"\0").decode(errors="replace")))
+                else:
+                    values.append((element, piece))
+            found.append(Read(version, domain, number, scopes, seconds, uptime, values))
 
-    def value(self, of: Field, part: Cursor) -> Value:
-        length = of.length
-        if length == VARIABLE:
-            length = part.number(1)
-            if length == 255:
-                length = part.number(2)
-        data = part.bytes(length)
-        if of.element.kind is Kind.UNSIGNED:
-            return int.from_bytes(data, "big")  # also of fewer bytes than the element has (RFC 7011, 6.2)
-        if of.element.kind is Kind.TEXT:
-            return data.rstrip(b"\0").decode(errors="replace")
-        return data
+    def length(self, data: bytes, at: int, end: int) -> tuple[int, int]:
+        """The length that a value says itself (RFC 7011, 7), and where the value begins."""
+        if at >= end or (data[at] == 255 and at + 3 > end):
+            raise BrokenMessageError("a field ends behind its set")
+        if data[at] < 255:
+            return data[at], at + 1
+        return data[at + 1] << 8 | data[at + 2], at + 3
 
     def wait(self, waiting: Waiting) -> None:
         """Guards a collector that was restarted: data may come before its template, which is sent again."""
