Flow export: refused records are told as lost, and templates alone try a collector again

Change: what a refusal was of is counted as lost, templates probe over UDP, notSent* elements tell losses and flowsFolded what gave way.

--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -18,12 +18,11 @@
 import time
 from pathlib import Path
 
-import click
-
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
 
 from standins import Program, array, inquiry  # noqa: E402
 
+from benchmarks import command  # noqa: E402
 from lichencleat.cli import output  # noqa: E402
 from lichencleat.flows.channel import Channel, Wire  # noqa: E402
 from lichencleat.flows.collector import Collector  # noqa: E402
@@ -218,17 +217,5 @@
 MEASURES = {"program": program, "collector": collector, "memory": memory}
 
 
-@click.command()
-@click.option("--pairs", type=click.IntRange(min=1), default=5)
-@click.option("--only", type=click.Choice(list(MEASURES)))
-def main(pairs, only):
-    total = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") >> 30
-    click.echo(f"{os.cpu_count()} cores, {total} GiB")
-    for name, measure in MEASURES.items():
-        if only in (None, name):
-            click.echo(f"\n{name}")
-            measure(pairs)
-
-
 if __name__ == "__main__":
-    main()
+    command(MEASURES)()
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -14,6 +14,7 @@
 
 import click
 
+from benchmarks import command
 from lichencleat.cli import output
 from lichencleat.store import bench
 from lichencleat.store.disk import RealDisk
@@ -342,17 +343,5 @@
 }
 
 
-@click.command()
-@click.option("--pairs", type=click.IntRange(min=1), default=5)
-@click.option("--only", type=click.Choice(list(MEASURES)))
-def main(pairs, only):
-    total = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") >> 30
-    click.echo(f"{os.cpu_count()} cores, {total} GiB")
-    for name, measure in MEASURES.items():
-        if only in (None, name):
-            click.echo(f"\n{name}")
-            measure(pairs)
-
-
 if __name__ == "__main__":
-    main()
+    command(MEASURES)()
--- a/lichencleat/flows/channel.py
+++ b/lichencleat/flows/channel.py
@@ -10,7 +10,7 @@
 
 from lichencleat.flows import ipfix, layouts, netflow9
 from lichencleat.flows.elements import Elements
-from lichencleat.flows.meter import Record
+from lichencleat.flows.meter import Counts, Record
 from lichencleat.flows.pressure import Pressure
 
 TEMPLATES_EACH = 60_000_000  # µs between templates over UDP: a collector that was restarted waits no longer
@@ -40,6 +40,9 @@
         self.messages = 0  # given out since the start
         self.records = 0  # data records of flows and tenants in them
         self.unfit = 0  # records that no message could carry
+        self.unsettled: list[Record] = []  # given out, and a refusal of them may still come
+        self.lost = 0  # records known not to have arrived, those that no message could carry included
+        self.lost_counts = Counts()  # what was in them
         self.statistics_due = now + STATISTICS_EACH
         self.began = now
         self.begin(now)
@@ -77,10 +80,37 @@
                     templates = False
                 except ipfix.UnfitRecordError:
                     self.unfit += 1
+                    self.loses([each])
+        else:
+            self.unsettled += records
         self.messages += len(made)
         self.since_templates += len(made)
         return made
 
+    def probe(self, now: int) -> list[bytes]:
+        """Templates alone: where nobody listens, they cost no record."""
+        self.told_templates = False
+        self.templates_due = now + TEMPLATES_EACH
+        self.since_templates = 0
+        self.messages += 1
+        return self.made(now, True, False, [])
+
+    def settled(self) -> None:
+        """No refusal came of what was given out before."""
+        self.unsettled = []
+
+    def refused(self) -> None:
+        """Nobody listened to what was given out last: it is lost, and told as such, rather than told
+        twice.
+        """
+        lost, self.unsettled = self.unsettled, []
+        self.loses(lost)
+
+    def loses(self, records: list[Record]) -> None:
+        self.lost += len(records)
+        for each in records:
+            self.lost_counts.add(each.counts)
+
     def templates_needed(self, now: int, statistics: bool) -> bool:
         """Over TCP once a session, before anything; over UDP again by time and by count, whatever else is
         due.
@@ -111,12 +141,8 @@
             for each in records:
                 rows += own.rows(each)
             if statistics:
-                pressure = self.pressure
-                rows.append(
-                    own.statistics_row(
-                        self.domain, self.messages, self.records, pressure.folded, pressure.folded_counts
-                    )
-                )
+                sent, lost = (self.messages, self.records), (self.lost, self.lost_counts)
+                rows.append(own.statistics_row(self.domain, *sent, *lost, self.pressure.folded))
             found = self.ipfix.messages(now // MS // 1000, own.templates if templates else [], rows)
         self.records += len(rows) - statistics
         return found
--- a/lichencleat/flows/elements.py
+++ b/lichencleat/flows/elements.py
@@ -86,6 +86,7 @@
     ("runMicroseconds", 9, Kind.UNSIGNED, 8),
     ("packetsEstimated", 10, Kind.UNSIGNED, 1),
     ("flowsFolded", 11, Kind.UNSIGNED, 8),
+    ("inquiriesNotSent", 12, Kind.UNSIGNED, 8),
 ]
 BY_NAME = {each.name: each for each in IANA}
 REVERSIBLE = ("octetDeltaCount", "packetDeltaCount")
--- a/lichencleat/flows/exporter.py
+++ b/lichencleat/flows/exporter.py
@@ -18,7 +18,7 @@
 from lichencleat.flows.meter import Meter, Record
 
 TICK = 100_000  # µs between looks at what is due: by so much a record may be late
-RECORDS_A_TICK = 400  # records taken from the meter at one look: some ms; 4,000 a second
+RECORDS_A_TICK = 2_000  # records taken from the meter at one look: some ms; more than connections can end
 CALLS_A_TICK = 4  # times that one channel is asked for messages at one look
 CONNECT_WAIT = 3.0  # s for a TCP connection: a black-holed collector answers nothing
 AGAIN_FIRST, AGAIN_MOST = 500_000, 30_000_000  # µs between tries to connect, doubling
@@ -152,6 +152,8 @@
         self.slow: Any = None  # the timer that ends a collector which takes nothing
         self.span = AGAIN_FIRST
         self.quiet_until = 0  # µs: after a refusal
+        self.probing = False  # over UDP: whether anybody listens is not known
+        self.probed = False  # templates went out, and no refusal of them came yet
         self.stopped = False
 
     def start(self) -> None:
@@ -170,11 +172,13 @@
 
     def alive(self) -> bool:
         """As far as can be known: UDP says nothing of a collector that only is silent."""
-        return self.peer is not None and self.clock() >= self.quiet_until and self.slow is None
+        quiet = self.clock() < self.quiet_until or (self.probing and not self.probed)
+        return self.peer is not None and not quiet and self.slow is None
 
     def up(self, peer: Udp | Tcp) -> None:
         self.peer = peer
         self.span = AGAIN_FIRST
+        self.probing, self.probed = isinstance(peer, Udp), False
         self.channel.begin(self.clock())
         self.report.count("flows", "links up")
         self.report.note(f"flows: {self.name}: up")
@@ -184,8 +188,8 @@
             self.report.note(f"flows: {self.name}: nobody listens there")
         self.report.count("flows", "refusals")
         self.quiet_until = self.clock() + REFUSED_SPAN
-        self.channel.told_templates = False
-        self.channel.templates_due = 0  # who listens next has none
+        self.channel.refused()
+        self.probing, self.probed = True, False
 
     def failed(self, connector: Any) -> None:
         if connector is self.attempt:
@@ -227,7 +231,19 @@
             self.peer.abort()
 
     def pump(self) -> None:
-        """Sends what is due, as long as it is taken."""
+        """Sends what is due, as long as it is taken; over UDP templates first, and records a look later.
+
+        Guards against losing records to a port where nobody listens: a refusal of the templates comes before
+        them.
+        """
+        self.channel.settled()
+        if self.probing and self.peer is not None and self.clock() >= self.quiet_until:
+            if not self.probed:
+                self.probed = True
+                self.peer.send(self.channel.probe(self.clock()))
+                return
+            self.probing = False
+            self.report.note(f"flows: {self.name}: takes records")
         for _ in range(CALLS_A_TICK):
             peer = self.peer
             if peer is None or (isinstance(peer, Tcp) and peer.paused) or self.clock() < self.quiet_until:
--- a/lichencleat/flows/layouts.py
+++ b/lichencleat/flows/layouts.py
@@ -57,6 +57,8 @@
                 "notSentFlowTotalCount",
                 "notSentPacketTotalCount",
                 "notSentOctetTotalCount",
+                "inquiriesNotSent",
+                "flowsFolded",
             ],
             scopes=1,
         )
@@ -80,9 +82,13 @@
         template = self.flow4 if len(record.source) == 4 else self.flow6
         return [(template, [*ends, *octets(counts), *times, *own])]
 
-    def statistics_row(self, domain: int, messages: int, records: int, folded: int, counts: Counts) -> Row:
+    def statistics_row(
+        self, domain: int, messages: int, records: int, lost: int, counts: Counts, folded: int
+    ) -> Row:
+        """`lost`: records that are known not to have arrived, `counts`: what was in them."""
         packets = counts.packets_in + counts.packets_out
-        return self.statistics, [domain, messages, records, folded, packets, counts.octets()]
+        figures = [lost, packets, counts.octets(), counts.inquiries(), folded]
+        return self.statistics, [domain, messages, records, *figures]
 
 
 class Netflow9:
--- a/tests/flows/test_export.py
+++ b/tests/flows/test_export.py
@@ -164,7 +164,8 @@
     ((port, _),) = reactor.ports
     flow(meter, clock())
     ticks(reactor)
-    sums, _ = read(port.sent)
+    sums, counts = read(port.sent)
+    assert "sets before their template" not in counts
     assert (sums.total.octets, sums.by_tenant["mainz1"].octets) == (300, 300)
     before = len(port.sent)
     reactor.pump([1] * (TEMPLATES_EACH // SECOND + 1))
@@ -188,12 +189,37 @@
     ticks(reactor, 2)
     assert len(port.sent) == sent and not exporter.links[0].alive()
     assert len(exporter.links[0].channel.pressure.queue) == 50
-    ticks(reactor, REFUSED_SPAN // TICK)
+    ticks(reactor, REFUSED_SPAN // TICK + 1)
     sums, _ = read(port.sent[sent:])
     assert sums.total.octets == 80 * 300 and sums.total.honoured == 80
     assert sums.total.folded == 30 and report.counts["flows refusals"] == 1
 
 
+def test_what_was_refused_is_told_as_lost_and_only_templates_try_again(reactor, clock, meter, exporter_of):
+    exporter = exporter_of(Wire.IPFIX_UDP)
+    ((port, protocol),) = reactor.ports
+    ticks(reactor)
+    flow(meter, clock())
+    ticks(reactor)
+    before = len(port.sent)
+    protocol.connectionRefused()  # of the record
+    for _ in range(5):
+        flow(meter, clock())
+        ticks(reactor, REFUSED_SPAN // TICK)
+        protocol.connectionRefused()  # of the templates
+    assert read(port.sent[before:])[0].total.records == 0
+    ticks(reactor, REFUSED_SPAN // TICK + 2)
+    exporter.flush(SECOND)
+    sums, _ = read(port.sent[before:])
+    (own,) = sums.exporters.values()
+    assert sums.total.octets == 5 * 300
+    assert (own["notSentFlowTotalCount"], own["notSentOctetTotalCount"], own["inquiriesNotSent"]) == (
+        1,
+        300,
+        1,
+    )
+
+
 def test_a_udp_socket_that_the_reactor_closes_is_opened_again(reactor, clock, meter, exporter_of, report):
     exporter = exporter_of(Wire.IPFIX_UDP)
     ((_, protocol),) = reactor.ports
--- a/tests/flows/test_node.py
+++ b/tests/flows/test_node.py
@@ -131,6 +131,34 @@
     assert not {"records lost", "packets lost"} & set(told["counters"])
 
 
+def test_a_collector_that_is_stopped_and_started_misses_nothing_but_what_is_told_as_lost(
+    tmp_path, started, collect
+):
+    program = started(chosen(tmp_path, (collect.udp, "ipfix-udp"), flush_s=0.5, active_s=0.2, idle_s=0.2))
+    caller = Caller(program.ready())
+    read_until(program, "takes records")
+    for n in range(10):
+        honour(program, caller, IDS[n])
+    first = collect.end()
+    honour(program, caller, IDS[10])
+    read_until(program, "nobody listens there")
+    for n in range(11, 40):
+        honour(program, caller, IDS[n])
+    second = Collect(udp=collect.udp)
+    read_until(program, "takes records")
+    honour(program, caller, IDS[50])
+    program.leave()
+    assert caller.answer() == [b"0", b"goaway"]
+    caller.peer.close()
+    code, counters, _ = program.end()
+    told = [first, second.end()]
+    own = told[1]["exporters"][-1]
+    octets = sum(row["octets"] for each in told for row in each["tenants"]) + own["notSentOctetTotalCount"]
+    honoured = sum(row["honoured"] for each in told for row in each["tenants"])
+    assert code == 0 and octets == caller.sent + caller.got
+    assert honoured + own["inquiriesNotSent"] == counters["host honoured"] == 41
+
+
 def test_links_are_metered_where_the_file_says_so(tmp_path, started, collect):
     program = started(chosen(tmp_path, (collect.udp, "ipfix-udp"), links=True, flush_s=0.5))
     caller = Caller(program.ready())
