--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -155,7 +155,18 @@
     counts = Counts(octets_in=number, octets_out=2 * number, honoured=1)
     ends = bytes([127, 0, 0, 1]), bytes([127, 0, 0, 2])
     return Record(
-        number, *ends, 40_000, 8443, f"tenant{number % 20}", 1, SECOND, 2 * SECOND, End.ENDED, True, counts
+        number,
+        *ends,
+        40_000,
+        8443,
+        f"tenant{number % 20}",
+        "look",
+        1,
+        SECOND,
+        2 * SECOND,
+        End.ENDED,
+        True,
+        counts,
     )
 
 
@@ -198,7 +209,7 @@
     flows = []
     for n in range(OPEN):
         flow = meter.opened(n, (rng.randbytes(4), 40_000), (b"\x7f\0\0\x01", 8443))
-        meter.belongs(n, flow, f"tenant{n % 20}", 1)
+        meter.belongs(n, flow, f"tenant{n % 20}", "look", 1)
         flow.received(n, 1_000 + n)
         flows.append(flow)
     held = resident() - before
--- a/lichencleat/flows/assembly.py
+++ b/lichencleat/flows/assembly.py
@@ -69,8 +69,9 @@
         if told is not None:
             self.meter.segments(flow, *told)
 
-    def belongs(self, flow: Flow, tenant: bytes, dispatcher: int) -> None:
-        self.meter.belongs(self.clock(), flow, tenant.decode(errors="replace"), dispatcher & 0xFFFFFFFF)
+    def belongs(self, flow: Flow, tenant: bytes, tariff: str, dispatcher: int) -> None:
+        name = tenant.decode(errors="replace")
+        self.meter.belongs(self.clock(), flow, name, tariff, dispatcher & 0xFFFFFFFF)
 
     def ended(self, flow: Flow, cut_off: bool) -> None:
         self.meter.ended(self.clock(), flow, End.LACK if cut_off else End.ENDED)
--- a/lichencleat/flows/layouts.py
+++ b/lichencleat/flows/layouts.py
@@ -41,7 +41,7 @@
     def __init__(self, elements: Elements) -> None:
         def flow(number: int, family: str) -> Template:
             addresses = [f"source{family}Address", f"destination{family}Address"]
-            own = ["tenant", "dispatcher", *INQUIRIES, "packetsEstimated"]
+            own = ["tenant", "tariff", "dispatcher", *INQUIRIES, "packetsEstimated"]
             return elements.template(number, ["flowId", *addresses, *ENDS, *COUNTS, *TIMES, *own])
 
         self.flow4, self.flow6 = flow(FLOW4, "IPv4"), flow(FLOW6, "IPv6")
@@ -78,7 +78,13 @@
             record.target_port,
             TCP,
         ]
-        own: list[Value] = [record.tenant, record.dispatcher, *inquiries(counts), int(record.estimated)]
+        own: list[Value] = [
+            record.tenant,
+            record.tariff,
+            record.dispatcher,
+            *inquiries(counts),
+            int(record.estimated),
+        ]
         template = self.flow4 if len(record.source) == 4 else self.flow6
         return [(template, [*ends, *octets(counts), *times, *own])]
 
--- a/lichencleat/flows/meter.py
+++ b/lichencleat/flows/meter.py
@@ -14,6 +14,7 @@
 
 # octets of a TCP segment on Ethernet with time stamps: what an estimate of packets divides by
 SEGMENT = 1_448
+SEVERAL = "(several)"  # the tariff of a record with inquiries of more than one
 TEXT_MOST = 64  # characters of a tenant's or tariff's name in a record
 SECOND = 1_000_000  # µs
 
@@ -72,6 +73,7 @@
     source_port: int
     target_port: int
     tenant: str
+    tariff: str  # of all its inquiries, or SEVERAL
     dispatcher: int
     began: int
     ended: int
@@ -91,6 +93,7 @@
         "source_port",
         "target_port",
         "tenant",
+        "tariff",
         "dispatcher",
         "since",
         "last",
@@ -106,7 +109,7 @@
         self.number = number
         self.source, self.source_port = source
         self.target, self.target_port = target
-        self.tenant = ""
+        self.tenant = self.tariff = ""
         self.dispatcher = 0
         self.since = self.last = now
         self.counts = Counts()
@@ -149,13 +152,18 @@
         self.round[flow] = now + self.look
         return flow
 
-    def belongs(self, now: int, flow: Flow, tenant: str, dispatcher: int) -> None:
-        """Whose inquiry came on it. Where that changes, what the one before did is a record of its own."""
+    def belongs(self, now: int, flow: Flow, tenant: str, tariff: str, dispatcher: int) -> None:
+        """Whose inquiry, of which tariff, came on it. Where that changes, what the one before did is a record
+        of its own.
+        """
         tenant = tenant[:TEXT_MOST]
         if tenant != flow.tenant:
             if flow.tenant:
                 self.cut(now, flow, End.FORCED)
             flow.tenant = tenant
+        tariff = tariff[:TEXT_MOST]
+        if tariff != flow.tariff:
+            flow.tariff = SEVERAL if flow.tariff else tariff
         flow.dispatcher = dispatcher
 
     def segments(self, flow: Flow, received: int, sent: int) -> None:
@@ -186,6 +194,7 @@
             counts.packets_in = max(flow.reads, -(-counts.octets_in // SEGMENT))
             counts.packets_out = max(flow.writes, -(-counts.octets_out // SEGMENT))
         flow.reads = flow.writes = 0
+        tariff, flow.tariff = flow.tariff, ""
         # a clock that stepped back makes no record of the past
         began, flow.since = flow.since, max(now, flow.since)
         self.total.add(counts)
@@ -197,6 +206,7 @@
                 flow.source_port,
                 flow.target_port,
                 flow.tenant,
+                tariff,
                 flow.dispatcher,
                 began,
                 max(began, now),
--- a/lichencleat/flows/pressure.py
+++ b/lichencleat/flows/pressure.py
@@ -56,7 +56,19 @@
         if known is None:
             nowhere = bytes(len(record.source))
             known = self.aggregates[tenant] = Record(
-                0, nowhere, nowhere, 0, 0, tenant, 0, record.began, record.ended, End.LACK, False, Counts()
+                0,
+                nowhere,
+                nowhere,
+                0,
+                0,
+                tenant,
+                "",
+                0,
+                record.began,
+                record.ended,
+                End.LACK,
+                False,
+                Counts(),
             )
         known.began = min(known.began, record.began)
         known.ended = max(known.ended, record.ended)
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -248,7 +248,7 @@
         case = Case(inquiry, ident, body, key, partial(self.answer, tag))
         self.cases[tag] = case
         if self.flow is not None:
-            self.door.flows.belongs(self.flow, said.get(b"t", b""), inquiry.caller)
+            self.door.flows.belongs(self.flow, said.get(b"t", b""), tariff.name, inquiry.caller)
         host.arrives(case)
 
     def refuse_all(self, why: str) -> None:
--- a/tests/flows/test_export.py
+++ b/tests/flows/test_export.py
@@ -12,7 +12,7 @@
 
 from lichencleat.flows import exporter as module
 from lichencleat.flows.channel import STATISTICS_EACH, TEMPLATES_EACH, Channel, Wire
-from lichencleat.flows.collector import OTHERS, SENDERS_MOST, TENANTS_MOST, Collector, Sums
+from lichencleat.flows.collector import OTHERS, SENDERS_MOST, TENANTS_MOST, Collector, Incoming, Sums
 from lichencleat.flows.decode import Read, Session
 from lichencleat.flows.elements import Elements
 from lichencleat.flows.exporter import AGAIN_MOST, REFUSED_SPAN, SLOW_LONG, TICK, Exporter, Link
@@ -138,7 +138,7 @@
 
 def flow(meter, now, octets=100, tenant="mainz1"):
     one = meter.opened(now, THERE, HERE)
-    meter.belongs(now, one, tenant, 3)
+    meter.belongs(now, one, tenant, "look", 3)
     one.received(now, octets)
     one.sent(now, 2 * octets)
     one.counts.honoured += 1
@@ -365,11 +365,39 @@
     for number in (1, 1 << 64, 2):
         nowhere = bytes(4)
         counts = Counts(octets_in=5)
-        channel.pressure.offer(Record(number, nowhere, nowhere, 1, 2, "t", 0, 1, 2, End.ENDED, False, counts))
+        channel.pressure.offer(
+            Record(number, nowhere, nowhere, 1, 2, "t", "", 0, 1, 2, End.ENDED, False, counts)
+        )
     sums, _ = read(channel.next_messages(clock()))
     assert sums.total.records == 2 and channel.unfit == 1
 
 
+@pytest.mark.parametrize("wire", [Wire.IPFIX_UDP, Wire.NETFLOW9_UDP])
+def test_connections_over_ipv6_have_a_template_of_their_own(clock, wire):
+    channel = Channel(wire, Elements(), 7, 1_400, 50, clock())
+    ends = bytes(15) + b"\x01", bytes(15) + b"\x02"
+    counts = Counts(octets_in=1 << 40, octets_out=3)
+    channel.pressure.offer(Record(1, *ends, 5, 6, "t", "look", 0, 1, 2, End.ENDED, False, counts))
+    session = Session(Elements())
+    found = [each.named() for message in channel.next_messages(clock()) for each in session.datagram(message)]
+    assert found[0]["sourceIPv6Address"] == ends[0] and found[0]["octetDeltaCount"] == 1 << 40
+
+
+def test_half_a_message_on_a_stream_is_counted_when_it_ends():
+    collector = Collector(Elements())
+    incoming = Incoming(collector)
+    incoming.transport = Stream()
+    incoming.connectionMade()
+    incoming.dataReceived(b"\0\x0a\0\x40half")
+    incoming.connectionLost()
+    assert collector.troubles() == {"messages cut off": 1} and not collector.streams
+    broken = Incoming(collector)
+    broken.transport = Stream()
+    broken.connectionMade()
+    broken.dataReceived(b"GET / HTTP/1.1\r\n")
+    assert broken.transport.ended == "aborted" and collector.troubles()["streams broken"] == 1
+
+
 def test_statistics_come_though_the_clock_steps_back(clock):
     channel = Channel(Wire.IPFIX_UDP, Elements(), 7, 1_400, 50, clock())
     channel.next_messages(clock())
@@ -399,7 +427,7 @@
     for n in range(300):
         counts = Counts(octets_in=n, packets_out=1, deferred=1)
         channel.pressure.offer(
-            Record(n, HERE[0], THERE[0], 1, 2, f"t{n % 3}", 0, 1, 2, End.ENDED, False, counts)
+            Record(n, HERE[0], THERE[0], 1, 2, f"t{n % 3}", "look", 0, 1, 2, End.ENDED, False, counts)
         )
     with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True) as collect:
         ports = [int(each) for each in re.findall(r" (\d+)(?:,|$)", collect.stderr.readline().strip())]
--- a/tests/flows/test_meter.py
+++ b/tests/flows/test_meter.py
@@ -70,9 +70,9 @@
 def test_a_tenant_that_changes_ends_the_record(meter):
     flow = meter.opened(0, THERE, HERE)
     flow.received(1, 100)
-    meter.belongs(1, flow, "mainz1", 7)
+    meter.belongs(1, flow, "mainz1", "look", 7)
     flow.received(2, 50)
-    meter.belongs(2, flow, "oslo", 7)
+    meter.belongs(2, flow, "oslo", "look", 7)
     flow.sent(3, 9)
     meter.ended(4, flow)
     assert [(each.tenant, each.counts.octets(), each.end) for each in due(meter, 5)] == [
@@ -81,6 +81,29 @@
     ]
 
 
+def test_the_tariff_is_told_where_all_inquiries_of_a_record_have_the_same(meter):
+    flow = meter.opened(0, THERE, HERE)
+    for tariffs in (["look", "look"], ["look", "save", "look"], []):
+        for tariff in tariffs:
+            meter.belongs(1, flow, "t", tariff, 7)
+        flow.sent(1, 1)
+        meter.drain(2)
+    assert [each.tariff for each in due(meter, 2)] == ["look", "(several)", ""]
+
+
+def test_ten_thousand_open_flows_are_told_at_a_drain_whatever_waits(meter):
+    pressure = Pressure(500)
+    for n in range(10_000):
+        flow = meter.opened(n, THERE, HERE)
+        meter.belongs(n, flow, f"t{n % 7}", "look", 1)
+        flow.received(n, n)
+    meter.drain(10_000)
+    for each in due(meter, 10_000):
+        pressure.offer(each)
+    taken = pressure.take(1_000)
+    assert len(taken) == 507 and sum(each.counts.octets_in for each in taken) == sum(range(10_000))
+
+
 def test_a_drain_tells_what_is_open_and_counts_nothing_twice(meter):
     flows = [meter.opened(0, THERE, HERE) for _ in range(300)]
     for flow in flows[:200]:
@@ -161,7 +184,7 @@
                 early = flow.counts.octets()
                 if early:
                     by_tenant[f"t{which}"] = by_tenant.get(f"t{which}", 0) + early
-            meter.belongs(now, flow, f"t{which}", 1)
+            meter.belongs(now, flow, f"t{which}", "look", 1)
         elif what == "honoured":
             flow.counts.honoured += 1
             metered.add(Counts(honoured=1))
@@ -193,7 +216,9 @@
 
 
 def record(tenant="t", octets=10):
-    return Record(1, b"\0" * 4, b"\0" * 4, 1, 2, tenant, 0, 5, 9, End.ENDED, False, Counts(octets_in=octets))
+    return Record(
+        1, b"\0" * 4, b"\0" * 4, 1, 2, tenant, "", 0, 5, 9, End.ENDED, False, Counts(octets_in=octets)
+    )
 
 
 def test_the_least_of_the_oldest_gives_way_into_its_tenants_aggregate():
