--- a/lichencleat/flows/exporter.py
+++ b/lichencleat/flows/exporter.py
@@ -152,6 +152,7 @@
         self.slow: Any = None  # the timer that ends a collector which takes nothing
         self.span = AGAIN_FIRST
         self.quiet_until = 0  # µs: after a refusal
+        self.told_dead = False  # a line said that nobody listens
         self.probing = False  # over UDP: whether anybody listens is not known
         self.probed = False  # templates went out, and no refusal of them came yet
         self.stopped = False
@@ -177,14 +178,20 @@
 
     def up(self, peer: Udp | Tcp) -> None:
         self.peer = peer
-        self.span = AGAIN_FIRST
         self.probing, self.probed = isinstance(peer, Udp), False
         self.channel.begin(self.clock())
         self.report.count("flows", "links up")
-        self.report.note(f"flows: {self.name}: up")
+        if not self.probing:
+            self.takes_records()
+
+    def takes_records(self) -> None:
+        """Somebody is there, as far as can be known: tries begin from the shortest span again."""
+        self.span, self.told_dead = AGAIN_FIRST, False
+        self.report.note(f"flows: {self.name}: takes records")
 
     def refused(self) -> None:
-        if self.clock() >= self.quiet_until:
+        if not self.told_dead:  # once, however long it lasts
+            self.told_dead = True
             self.report.note(f"flows: {self.name}: nobody listens there")
         self.report.count("flows", "refusals")
         self.quiet_until = self.clock() + REFUSED_SPAN
@@ -207,7 +214,8 @@
             self.slow = None
             self.report.count("flows", "links lost")
             if not self.stopped:
-                self.report.note(f"flows: {self.name}: lost")
+                if isinstance(peer, Tcp):
+                    self.report.note(f"flows: {self.name}: lost")
                 self.later()
 
     def later(self) -> None:
@@ -243,7 +251,7 @@
                 self.peer.send(self.channel.probe(self.clock()))
                 return
             self.probing = False
-            self.report.note(f"flows: {self.name}: takes records")
+            self.takes_records()
         for _ in range(CALLS_A_TICK):
             peer = self.peer
             if peer is None or (isinstance(peer, Tcp) and peer.paused) or self.clock() < self.quiet_until:
