--- a/lichencleat/flows/assembly.py
+++ b/lichencleat/flows/assembly.py
@@ -105,6 +105,14 @@
         """The last records, within the budget and what is left of the time to stop (µs)."""
         return self.exporter.flush(max(0, min(self.budget, left)))
 
+    def tell_totals(self) -> None:
+        """All that was ever metered, as counters: what collectors add up and what is lost make these."""
+        total, open_still = self.meter.total, self.meter.open_counts()
+        total.add(open_still)
+        self.report.count("flows", "octets metered", total.octets())
+        self.report.count("flows", "packets metered", total.packets_in + total.packets_out)
+        self.report.count("flows", "inquiries metered", total.inquiries())
+
     def beliefs(self) -> str:
         return self.exporter.beliefs()
 
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -144,5 +144,7 @@
 
     def over(self, _: Any = None) -> None:
         if not self.ended.called:
+            if self.flows is not None:
+                self.flows.tell_totals()
             self.report.summary()
             self.ended.callback(None)
--- a/tests/flows/test_node.py
+++ b/tests/flows/test_node.py
@@ -123,6 +123,10 @@
     }
     assert code == 0 and counters.get("node errors", 0) == 0
     assert total["octets"] == sum(caller.sent + caller.got for caller in callers)
+    assert (total["octets"], total["packets"]) == (
+        counters["flows octets metered"],
+        counters["flows packets metered"],
+    )
     if wire != "netflow9-udp":
         assert total["honoured"] == counters["host honoured"] == 15
         assert total["abandoned"] == counters["host abandoned"] == 1
@@ -155,7 +159,9 @@
     own = told[1]["exporters"][-1]
     octets = sum(row["octets"] for each in told for row in each["tenants"]) + own["notSentOctetTotalCount"]
     honoured = sum(row["honoured"] for each in told for row in each["tenants"])
+    packets = sum(row["packets"] for each in told for row in each["tenants"]) + own["notSentPacketTotalCount"]
     assert code == 0 and octets == caller.sent + caller.got
+    assert (octets, packets) == (counters["flows octets metered"], counters["flows packets metered"])
     assert honoured + own["inquiriesNotSent"] == counters["host honoured"] == 41
 
 
