Store: an idle step looks for a job once; salvage reads by the survey's reader

Need: a step with nothing to do worked the facts out twice, and salvage made a reader of its own beside Survey.reader. Change: the step ends where there is no job; whole_batches takes the reader. Behaviour is the same.

--- a/lichencleat/store/engine.py
+++ b/lichencleat/store/engine.py
@@ -643,7 +643,10 @@
             elif self.pointing is not None and not self.disk_full:
                 self.point(self.pointing, budget)
             else:
-                self.take_up(upkeep.next_job(self.facts(), self.time))
+                job = upkeep.next_job(self.facts(), self.time)
+                if job is None:
+                    return 0
+                self.take_up(job)
             return self.left()
         except OSError as wrong:
             if self.pointing is not None:
@@ -668,7 +671,7 @@
         """
         self.thorough = True
 
-    def take_up(self, job: upkeep.Job | None) -> None:
+    def take_up(self, job: upkeep.Job) -> None:
         if job is upkeep.Job.CLEAN:
             segment = upkeep.victim(self.facts())
             if segment is not None:
--- a/lichencleat/store/inspect.py
+++ b/lichencleat/store/inspect.py
@@ -201,7 +201,7 @@
             rooted = bool(survey.segments) and not any(each.file == name for each in survey.findings)
             if number in gone or (rooted and number not in known):
                 continue  # cleaned: what it held stands in a newer one
-            yield from whole_batches(disk, name, file, size, ends.get(number), told)
+            yield from whole_batches(survey.reader(file), name, size, ends.get(number), told)
     finally:
         for _, file, _ in sizes:
             disk.close(file)
@@ -221,9 +221,8 @@
 
 
 def whole_batches(
-    disk: Disk, name: str, file: Any, size: int, end: int | None, told: Salvaged
+    read: frames.Read, name: str, size: int, end: int | None, told: Salvaged
 ) -> Iterator[Batch]:
-    read = lambda offset, length: disk.read(file, offset, length)  # noqa: E731
     salt = frames.read_file_head(read(0, frames.FILE_HEAD), frames.LOG_MAGIC, name)
     if salt is None:
         told.findings.append(Finding(name, 0, "its salt is lost: nothing in it can be told from chance"))
