--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -17,8 +17,10 @@
 from benchmarks import command
 from lichencleat.cli import output
 from lichencleat.store import bench
+from lichencleat.store.batch import Batch
 from lichencleat.store.disk import RealDisk
-from lichencleat.store.engine import Batch, Bounds, Engine
+from lichencleat.store.engine import Engine
+from lichencleat.store.room import Bounds
 
 VALUE = 128  # bytes
 SECONDS = 2.0  # of each measurement of a rate
@@ -202,7 +204,7 @@
     at = time.perf_counter()
     engine = bench.open_engine(path, LARGE)
     spent = time.perf_counter() - at
-    count = len(engine.index)
+    count = len(engine.log.index)
     engine.give_back()
     return spent, count
 
@@ -246,8 +248,8 @@
     before = resident()
     engine = bench.open_engine(path, LARGE)
     gc.collect()
-    count = len(engine.index)
-    return count, (resident() - before) / count, engine.index.memory / count
+    count = len(engine.log.index)
+    return count, (resident() - before) / count, engine.log.index.memory / count
 
 
 def memory(pairs):
@@ -269,12 +271,12 @@
     value = rng.randbytes(1_000)
     for at in range(0, len(keys), 200):
         engine.commit([Batch().put(key, value) for key in keys[at : at + 200]])
-    before = dict(engine.counts)
+    before = dict(engine.log.counts)
     for _ in range(1_200):  # six times over
         engine.commit([Batch().put(rng.choice(keys), value) for _ in range(200)])
         while engine.stat()["bytes of garbage"] > share * engine.stat()["bytes on disk"] and engine.step():
             pass
-    after = engine.counts
+    after = engine.log.counts
     written = after["bytes written"] - before["bytes written"]
     stat = engine.stat()
     engine.close()
@@ -297,10 +299,10 @@
             if verdict is not None:
                 raise verdict
         engine.step()
-        most = max(most, engine.total())
+        most = max(most, engine.log.total())
     while engine.step():
         pass
-    return engine.total(), most, time.monotonic() - begun
+    return engine.log.total(), most, time.monotonic() - begun
 
 
 def expired(path):
@@ -312,7 +314,7 @@
     for at in range(0, 10_000_000, 1000):
         engine.commit([Batch().put(b"%016d" % n, b"", at_end[0] + 1) for n in range(at, at + 1000)])
         engine.step()
-    before, begun, longest = engine.total(), time.monotonic(), 0.0
+    before, begun, longest = engine.log.total(), time.monotonic(), 0.0
     at_end[0] += 2 + 10_000_000 * 10  # past the expiry, and past the rest between two sweeps
     while True:
         one = time.monotonic()
@@ -320,7 +322,7 @@
         longest = max(longest, time.monotonic() - one)
         if not left:
             break
-    return before, engine.total(), time.monotonic() - begun, longest * 1000
+    return before, engine.log.total(), time.monotonic() - begun, longest * 1000
 
 
 def extremes(pairs):
--- a/lichencleat/cli/store.py
+++ b/lichencleat/cli/store.py
@@ -17,11 +17,13 @@
 import msgspec
 
 from lichencleat.cli import output
+from lichencleat.store.batch import Batch
 from lichencleat.store.disk import RealDisk
-from lichencleat.store.engine import Batch, Bounds, Engine
+from lichencleat.store.engine import Engine
 from lichencleat.store.errors import BadRecordError, StoreError, UnfitError
 from lichencleat.store.inspect import check as check_store
 from lichencleat.store.inspect import salvage as salvage_store
+from lichencleat.store.room import Bounds
 
 READ = 65_536  # bytes of standard input taken at once: the lines in them are confirmed by one flush
 LINE_MOST = 32 << 20  # bytes: the largest value, with room for what JSON adds
--- a/lichencleat/store/bench.py
+++ b/lichencleat/store/bench.py
@@ -10,8 +10,10 @@
 
 from hdrh.histogram import HdrHistogram
 
+from lichencleat.store.batch import Batch
 from lichencleat.store.disk import RealDisk
-from lichencleat.store.engine import Batch, Bounds, Engine
+from lichencleat.store.engine import Engine
+from lichencleat.store.room import Bounds
 
 LOWEST, HIGHEST, DIGITS = 1, 60_000_000, 3  # ns/1000: latencies from 1 µs to a minute, to three digits
 PUT_HEAD = ["way", "callers", "puts_per_s", "p50_us", "p99_us", "p999_us"]
--- a/lichencleat/store/inspect.py
+++ b/lichencleat/store/inspect.py
@@ -14,12 +14,14 @@
 from crc32c import crc32c
 
 from lichencleat.store import frames
+from lichencleat.store.batch import Batch
 from lichencleat.store.checkpoint import Point
 from lichencleat.store.disk import Disk
-from lichencleat.store.engine import Batch, Bounds, Engine
+from lichencleat.store.engine import Engine
 from lichencleat.store.errors import BadRecordError, Finding, StoreError, UnfitError
 from lichencleat.store.index import expired
 from lichencleat.store.recovery import Survey, is_segment
+from lichencleat.store.room import Bounds
 from lichencleat.store.segments import Segment, read_head
 
 Progress = Callable[[str, int, int], None]
@@ -151,7 +153,7 @@
         engine = Engine.open(into, clock, rng, most, create=True, where=new)
         try:
             write_all(salvageable(disk, survey, told, progress), engine, told)
-            told.entries = len(engine.index)
+            told.entries = len(engine.log.index)
         finally:
             engine.close()
     except OSError as wrong:
--- /dev/null
+++ b/lichencleat/store/points.py
@@ -0,0 +1,100 @@
+"""Checkpoints on their way to the disk: begun from a snapshot, written row by row, named once flushed."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass
+from typing import Any
+
+from lichencleat.store import checkpoint, frames
+from lichencleat.store.index import Snapshot
+from lichencleat.store.log import Log
+
+
+@dataclass(slots=True)
+class Pointing:
+    """A checkpoint on its way to the disk."""
+
+    snapshot: Snapshot
+    writer: checkpoint.Writer
+    file: Any
+    cursor: bytes
+    mark: int  # bytes of log that had been written when it began
+
+
+class Points:
+    """Owns the checkpoint under way; its file and snapshot are given back in `give_up` alone."""
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+        self.pointing: Pointing | None = None
+        self.mark = 0  # of the bytes of log written, those before the last checkpoint
+        self.last = 0  # sequence that the last checkpoint covers
+
+    def since(self) -> int:
+        """Bytes of log since the last checkpoint: what a start would have to read again."""
+        return self.log.written - self.mark
+
+    def begin(self) -> None:
+        """Begins a checkpoint, unless one is under way; the next steps write it. Raises OSError."""
+        if self.pointing is not None:
+            return
+        log = self.log
+        newest = log.newest()
+        with contextlib.suppress(FileNotFoundError):
+            log.disk.remove(checkpoint.NEW)
+        writer = checkpoint.Writer(log.rng.randbytes(frames.SALT))
+        file = log.disk.open(checkpoint.NEW, create=True)
+        with log.guard:
+            snapshot = log.index.snapshot(log.sequence)
+            tombs = [(each.number, each.tombs) for each in log.segments.values()]
+        self.pointing = Pointing(snapshot, writer, file, b"", log.written)
+        log.disk.append(
+            file, writer.begin(log.store, log.sequence, log.time, (newest.number, newest.size), tombs)
+        )
+
+    def step(self, budget: int) -> None:
+        """Writes the next rows; at the end the file is flushed and takes its name."""
+        pointing = self.pointing
+        assert pointing is not None
+        spent = 0
+        while spent < budget:
+            with self.log.guard:
+                rows = pointing.snapshot.chunk(pointing.cursor, b"", checkpoint.ROWS)
+            if not pointing.snapshot.open:
+                self.give_up()  # more was changed meanwhile than the undo list may hold
+                return
+            if not rows:
+                self.end(pointing)
+                return
+            data = pointing.writer.rows(rows)
+            self.log.disk.append(pointing.file, data)
+            spent += len(data)
+            pointing.cursor = rows[-1][0] + b"\0"
+
+    def end(self, pointing: Pointing) -> None:
+        disk, counts = self.log.disk, self.log.counts
+        disk.append(pointing.file, pointing.writer.end())
+        disk.flush(pointing.file)
+        disk.rename(checkpoint.NEW, checkpoint.NAME)
+        disk.flush_directory()
+        self.mark = pointing.mark
+        self.last = pointing.snapshot.sequence
+        counts["checkpoints"] += 1
+        counts["bytes written"] += pointing.writer.size
+        self.give_up()
+
+    def failed(self) -> None:
+        """The disk failed under it: tried again after as much log, not at once."""
+        if self.pointing is not None:
+            self.mark = self.log.written
+            self.give_up()
+
+    def give_up(self) -> None:
+        pointing, self.pointing = self.pointing, None
+        if pointing is not None:
+            with self.log.guard:
+                pointing.snapshot.close()
+            self.log.disk.close(pointing.file)
+            with contextlib.suppress(OSError):
+                self.log.disk.remove(checkpoint.NEW)
--- a/lichencleat/store/store.py
+++ b/lichencleat/store/store.py
@@ -17,10 +17,13 @@
 from twisted.python.threadpool import ThreadPool
 
 from lichencleat.store import errors as bounds
+from lichencleat.store.batch import Batch
 from lichencleat.store.disk import Disk, RealDisk
-from lichencleat.store.engine import CHUNK, STEP, Batch, Bounds, Engine
+from lichencleat.store.engine import STEP, Engine
 from lichencleat.store.errors import ClosedError, FullError, StoreError
 from lichencleat.store.index import Snapshot
+from lichencleat.store.reads import CHUNK
+from lichencleat.store.room import Bounds
 
 QUEUE_MOST = 4_096  # batches that wait for the writer: some 20 groups on a disk that flushes in 1 ms
 QUEUE_BYTES = 64 << 20  # of these batches
--- a/tests/store/every_byte.py
+++ b/tests/store/every_byte.py
@@ -19,11 +19,11 @@
 import click
 
 from lichencleat.store.checkers import History
-from lichencleat.store.engine import Bounds
 from lichencleat.store.errors import DamagedError, StoreError, UnfitError
 from lichencleat.store.faulty import FaultyDisk
 from lichencleat.store.index import length_of, offset_of, segment_of
 from lichencleat.store.inspect import salvage
+from lichencleat.store.room import Bounds
 from lichencleat.store.segments import NAME
 from tests.store.workload import Day
 
@@ -38,7 +38,7 @@
         self.day = Day()
         self.day.open(disk)
         self.day.run(point=point, close=False)
-        self.places = dict(self.day.engine.index.places)
+        self.places = dict(self.day.engine.log.index.places)
         if close:
             self.day.engine.close()
         self.image = disk.image()
--- a/tests/store/test_cuts.py
+++ b/tests/store/test_cuts.py
@@ -144,7 +144,7 @@
         for n in range(12):
             day.ask((b"k%d" % n, b"%d" % turn * 30, 0))
     day.upkeep()
-    assert day.engine.reserve_held
+    assert day.engine.reserve.held
     for n in range(12):
         day.ask((b"k%d" % n, b"last" * 5, 0))  # garbage, not yet cleaned
     disk.room = disk.used() + 5
@@ -152,13 +152,13 @@
     assert isinstance(verdict, FullError) and "room on the disk itself" in str(verdict)
     assert day.judge(day.engine) is None  # reads go on
     day.upkeep()
-    assert day.engine.counts["segments cleaned"] > 0
+    assert day.engine.log.counts["segments cleaned"] > 0
     assert day.ask((b"one more", b"x" * 100, 0)) is None
     assert violations(after_cuts(disk, 5), day) == []
     disk.room = None
     day.now += 60 * SECOND
     day.upkeep()
-    assert day.engine.reserve_held == day.bounds.reserve_bytes
+    assert day.engine.reserve.held == day.bounds.reserve_bytes
 
 
 def test_a_flipped_bit_among_confirmed_records_is_told_and_nothing_is_dropped_silently():
@@ -168,11 +168,11 @@
     day.run(point=False, close=False)
     image = disk.image()
     newest = max(each for each in image if each.endswith(".log"))
-    confirmed = day.engine.segments[int(newest[:-4])]
+    confirmed = day.engine.log.segments[int(newest[:-4])]
     last = day.confirms[-2][1].get(newest, 0)
     told = silent = 0
     for name in [each for each in image if each.endswith(".log")]:
-        known = day.engine.segments.get(int(name[:-4]))
+        known = day.engine.log.segments.get(int(name[:-4]))
         for at in range(known.size if known else 0):
             data = bytearray(image[name])
             data[at] ^= 1 << at % 8
@@ -195,7 +195,7 @@
     day = Day()
     day.open(disk)
     day.run(close=False)
-    where = day.engine.index.places[b"k3"]
+    where = day.engine.log.index.places[b"k3"]
     name = NAME.format(segment_of(where))
     day.engine.close()
     image = disk.image()
@@ -236,7 +236,7 @@
         (frames.COMMIT, 1, b"", b""),
         (frames.MARK, day.now, b"", b""),
     ]
-    segment = engine.begin()
+    segment = engine.log.begin()
     data, _ = encode([Record(*each) for each in bodies], segment, segment.first, segment.first - 1)
     disk.append(segment.file, data)
     mark = Record(frames.MARK, day.now, b"")
@@ -280,7 +280,7 @@
     day.ask((b"a", b"1", 0))
     day.now += 2 * SECOND  # so that a mark comes first, which is not written anew
     day.ask((b"a", None, 0))
-    day.engine.begin_point()
+    day.engine.points.begin()
     day.upkeep()
     day.open(FaultyDisk(disk.image()))
     day.ask((b"b", b"2", 0))
--- a/tests/store/test_model.py
+++ b/tests/store/test_model.py
@@ -9,9 +9,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from lichencleat.store.checkers import visible
-from lichencleat.store.engine import Bounds
 from lichencleat.store.errors import SnapshotGoneError
 from lichencleat.store.faulty import FaultyDisk, PowerCutError, by_chance
+from lichencleat.store.room import Bounds
 from tests.store.workload import SECOND, Day
 
 keys = st.sampled_from([b"a", b"ab", b"b", b"\x00", b"\xff" * 3, b"abc"])
@@ -33,7 +33,7 @@
     def state(self):
         """What has to be there; the time that counts is the latest that the store has seen."""
         history = self.day.history
-        return visible(history.after(len(history.batches)), self.day.engine.time)
+        return visible(history.after(len(history.batches)), self.day.engine.log.time)
 
     @rule(key=keys, value=values, ttl=ttls)
     def put(self, key, value, ttl):
@@ -52,10 +52,10 @@
         for _ in range(steps):
             self.day.engine.step(budget)
 
-    @precondition(lambda self: self.day.engine.pointing is None)
+    @precondition(lambda self: self.day.engine.points.pointing is None)
     @rule()
     def checkpoint(self):
-        self.day.engine.begin_point()
+        self.day.engine.points.begin()
 
     @rule(span=st.integers(-SECOND, 2 * SECOND))
     def clock_moves(self, span):
@@ -80,7 +80,7 @@
         except SnapshotGoneError:
             assert not taken.open
         else:
-            shown = visible(then, self.day.engine.time)
+            shown = visible(then, self.day.engine.log.time)
             assert found == sorted((key, value) for key, value in shown.items() if key.startswith(prefix))
         self.day.engine.release(taken)
 
@@ -90,7 +90,7 @@
             self.day.engine.release(taken)
         self.snapshots = []
         if point:
-            self.day.engine.begin_point()
+            self.day.engine.points.begin()
             self.day.upkeep()
         self.day.engine.close()
         assert self.disk.open_files == 0 and not self.disk.locked
@@ -100,7 +100,9 @@
     def cut(self, seed):
         self.snapshots = []
         self.disk = self.disk.after_cut(by_chance(random.Random(seed)))
-        self.day.now = max(self.day.now, self.day.engine.time)  # a cut may forget the last second of marks
+        self.day.now = max(
+            self.day.now, self.day.engine.log.time
+        )  # a cut may forget the last second of marks
         self.day.open(self.disk)
 
     @rule(calls=st.integers(0, 12), seed=st.integers(0, 1 << 16), key=keys, value=values)
@@ -114,12 +116,12 @@
         except PowerCutError:
             pass
         self.disk.faults = {}
-        self.day.now = max(self.day.now, self.day.engine.time)
+        self.day.now = max(self.day.now, self.day.engine.log.time)
         self.disk = self.disk.after_cut(by_chance(random.Random(seed)))
         engine = self.day.open(self.disk)
         found = dict(engine.scan())
         history = self.day.history
-        assert history.judge(found, engine.time) is None
+        assert history.judge(found, engine.log.time) is None
         if found != self.state():  # the one under way is not there: asked for no more
             history.batches = history.batches[: history.confirmed]
         history.confirms()  # what recovery gave back stays
@@ -127,10 +129,10 @@
     @invariant()
     def entries_are_the_models(self):
         engine = self.day.engine
-        engine.tick()
+        engine.log.tick()
         assert dict(engine.scan()) == self.state()
-        assert sum(engine.index.live.values()) == sum(
-            each & 0xFFFFFFFF for each in engine.index.places.values()
+        assert sum(engine.log.index.live.values()) == sum(
+            each & 0xFFFFFFFF for each in engine.log.index.places.values()
         )
 
     def teardown(self):
--- a/tests/store/test_parts.py
+++ b/tests/store/test_parts.py
@@ -8,11 +8,15 @@
 from crc32c import crc32c
 
 from lichencleat.store import frames, upkeep
+from lichencleat.store.batch import BATCH_MOST, Batch
 from lichencleat.store.checkers import History
-from lichencleat.store.engine import BATCH_MOST, SNAPSHOTS_MOST, Batch, Bounds, Cleaning, Engine
+from lichencleat.store.cleaner import Cleaning
+from lichencleat.store.engine import Engine
 from lichencleat.store.errors import BadRecordError, DamagedError, FullError, SnapshotGoneError, UnfitError
 from lichencleat.store.faulty import FaultyDisk, every_choice
 from lichencleat.store.index import Index, expiry_of, length_of, offset_of, place, segment_of
+from lichencleat.store.reads import SNAPSHOTS_MOST
+from lichencleat.store.room import Bounds
 from lichencleat.store.segments import Segment
 from lichencleat.store.tail import Tail
 from lichencleat.store.upkeep import Facts, Job
@@ -303,7 +307,7 @@
     assert engine.get(b"k7") is None
     while engine.step():
         pass
-    assert len(engine.index) == 0 and engine.stat()["bytes on disk"] < 16_000
+    assert len(engine.log.index) == 0 and engine.stat()["bytes on disk"] < 16_000
     clock.now -= 30 * SECOND
     assert engine.get(b"k7") is None
     engine = opened(FaultyDisk(disk.image()), clock, segment_bytes=8_000)
@@ -322,10 +326,12 @@
         else:
             held.pop(key, None)
             assert bound(engine, Batch().delete(key)) is None
-        sealed = [each for each in engine.segments.values() if each is not engine.active]
-        if engine.cleaning is None and sealed and turn % 7 == 0:  # any segment, not the one that pays best
+        sealed = [each for each in engine.log.segments.values() if each is not engine.log.active]
+        if (
+            engine.cleaner.cleaning is None and sealed and turn % 7 == 0
+        ):  # any segment, not the one that pays best
             each = rng.choice(sealed)
-            engine.cleaning = Cleaning(each, each.start, each.first)
+            engine.cleaner.cleaning = Cleaning(each, each.start, each.first)
         engine.step(100)
         if turn % 20 == 0:
             assert dict(opened(FaultyDisk(disk.image()), clock, reserve=False).scan()) == held
@@ -344,27 +350,27 @@
             pass
     with pytest.raises(SnapshotGoneError):
         engine.chunk(taken[0], b"", b"")
-    assert engine.counts["snapshots ended"] == 1 and disk.open_files == len(engine.segments)
+    assert engine.log.counts["snapshots ended"] == 1 and disk.open_files == len(engine.log.segments)
 
 
 def test_a_read_error_is_told_and_cleaning_leaves_the_segment(disk, clock):
     engine = opened(disk, clock, segment_bytes=300, reserve=False)
     for n in range(30):
         bound(engine, Batch().put(b"k%d" % (n % 4), b"v" * 30))
-    where = engine.index.places[b"k1"]
+    where = engine.log.index.places[b"k1"]
     disk.faults = {len(disk.calls): 5}
     with pytest.raises(DamagedError, match="can't be read"):
         engine.get(b"k1")
     assert engine.get(b"k1") == b"v" * 30
-    spoilt = engine.segments[segment_of(where)]
-    engine.cleaning = Cleaning(spoilt, spoilt.start, spoilt.first)
+    spoilt = engine.log.segments[segment_of(where)]
+    engine.cleaner.cleaning = Cleaning(spoilt, spoilt.start, spoilt.first)
     disk.faults = {len(disk.calls): 5}
     with pytest.raises(DamagedError):
         engine.step()
-    assert spoilt.damaged and engine.cleaning is None and engine.index.places[b"k1"] == where
+    assert spoilt.damaged and engine.cleaner.cleaning is None and engine.log.index.places[b"k1"] == where
     while engine.step():
         pass
-    assert spoilt.number in engine.segments
+    assert spoilt.number in engine.log.segments
 
 
 @pytest.mark.parametrize(
@@ -397,5 +403,5 @@
     bound(engine, Batch().put(b"last", b"confirmed"))
     after = FaultyDisk(disk.image(), room=disk.used())
     again = opened(after, clock, segment_bytes=500, disk_bytes=10_000)
-    assert again.get(b"last") == b"confirmed" and again.reserve_held == 0
-    assert again.counts["records carried"] == 1
+    assert again.get(b"last") == b"confirmed" and again.reserve.held == 0
+    assert again.log.counts["records carried"] == 1
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -9,7 +9,8 @@
 from twisted.internet.task import Clock
 
 from lichencleat.store import store as module
-from lichencleat.store.engine import Batch, Bounds, Engine
+from lichencleat.store.batch import Batch
+from lichencleat.store.engine import Engine
 from lichencleat.store.errors import (
     ClosedError,
     DamagedError,
@@ -19,6 +20,7 @@
     UnfitError,
 )
 from lichencleat.store.faulty import FaultyDisk
+from lichencleat.store.room import Bounds
 from lichencleat.store.store import BUSY, QUEUE_MOST, READS_MOST, REST, Store, open_store
 
 SECOND = 1_000_000
@@ -126,9 +128,9 @@
     told = results(*(store.put(b"%d" % n, b"v") for n in range(100)))
     writer.work()
     assert len(told) == 1
-    flushes = engine.counts["flushes"]
+    flushes = engine.log.counts["flushes"]
     writer.work()
-    assert len(told) == 100 and engine.counts["flushes"] == flushes + 1
+    assert len(told) == 100 and engine.log.counts["flushes"] == flushes + 1
 
 
 def test_a_batch_out_of_bounds_fails_alone(store, writer, engine):
@@ -178,7 +180,7 @@
     for n in range(40 * BUSY):
         store.put(b"k", b"%d" % n * 20)
         writer.work()
-    assert engine.counts["segments cleaned"] > 0
+    assert engine.log.counts["segments cleaned"] > 0
     assert engine.stat()["bytes on disk"] < 200_000
 
 
@@ -211,13 +213,13 @@
 def test_a_read_under_way_when_the_store_closes_is_answered(store, writer, reader, engine, disk):
     store.put(b"k", b"v")
     writer.work()
-    where = engine.index.places[b"k"]
-    segment = engine.segments[where >> 64 & 0xFFFFFFFF]
+    where = engine.log.index.places[b"k"]
+    segment = engine.log.segments[where >> 64 & 0xFFFFFFFF]
     segment.users += 1  # as a reader that is at it
     store.close()
     writer.work(5)
-    assert engine.read(segment, b"k", where) == b"v"
-    engine.leave(segment)
+    assert engine.reads.read(segment, b"k", where) == b"v"
+    engine.log.leave(segment)
     assert disk.open_files == 0
 
 
@@ -242,7 +244,7 @@
     opened = reactor.until(open_store(reactor, str(tmp_path / "s"), clock, random.Random(1)))
     puts = gatherResults([opened.put(b"%03d" % n, b"v" * n) for n in range(300)])
     assert reactor.until(puts) == [None] * 300
-    assert opened.engine.counts["flushes"] < 100
+    assert opened.engine.log.counts["flushes"] < 100
     assert reactor.until(opened.get(b"299")) == b"v" * 299
     second = reactor.until(open_store(reactor, str(tmp_path / "s"), clock, random.Random(2)))
     assert second.check(UnfitError) and "in use by another process" in second.getErrorMessage()
@@ -255,7 +257,7 @@
 def test_a_reads_damage_reaches_the_caller(store, writer, reader, engine, disk):
     store.put(b"k", b"value")
     writer.work()
-    content = disk.live_names[engine.active.name]
+    content = disk.live_names[engine.log.active.name]
     content.now[-2] ^= 1
     told = results(store.get(b"k"))
     reader.work()
--- a/tests/store/workload.py
+++ b/tests/store/workload.py
@@ -3,10 +3,12 @@
 import contextlib
 import random
 
+from lichencleat.store.batch import Batch
 from lichencleat.store.checkers import History
-from lichencleat.store.engine import Batch, Bounds, Engine
+from lichencleat.store.engine import Engine
 from lichencleat.store.errors import FullError, NotConfirmedError, StoreError
 from lichencleat.store.faulty import FaultyDisk, PowerCutError
+from lichencleat.store.room import Bounds
 
 SMALL = Bounds(segment_bytes=400, disk_bytes=12_000, entries=100, memory_bytes=100_000, segments=64)
 SECOND = 1_000_000
@@ -39,7 +41,7 @@
         (verdict,) = self.engine.commit([batch])
         if verdict is None:
             self.history.confirms()
-            sizes = {each.name: each.size for each in self.engine.segments.values()}
+            sizes = {each.name: each.size for each in self.engine.log.segments.values()}
             self.confirms.append((self.history.confirmed, sizes))
         elif isinstance(verdict, FullError) and verdict.bound != "room on the disk itself":
             self.history.refuses()
@@ -68,7 +70,7 @@
             self.upkeep()
         if point:
             with contextlib.suppress(OSError):
-                self.engine.begin_point()
+                self.engine.points.begin()
             self.upkeep()
         self.ask((b"after", b"the checkpoint", 0))
         self.ask((b"and", b"one", 0), (b"more", None, 0), (b"batch", b"", 0))
@@ -101,5 +103,5 @@
     day = Day()
     day.open(disk)
     day.run()
-    assert day.engine.counts["segments cleaned"] and day.engine.counts["checkpoints"]
+    assert day.engine.log.counts["segments cleaned"] and day.engine.log.counts["checkpoints"]
     return len(disk.calls)
