--- /dev/null
+++ b/lichencleat/lab/explore_quorum.py
@@ -0,0 +1,283 @@
+"""A few voters, their disks and what is on its way between them, for the explorer.
+
+Time is left out: a voter may stand at any moment, whatever it has heard, which allows more than any clock
+does. A message that is never delivered is lost; one that is delivered stays for a second time where repeats
+are allowed. A cut leaves some of the writes that were not confirmed, in their order.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections import Counter, deque
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from lichencleat.quorum.group import changed, without
+from lichencleat.quorum.member import Role
+from lichencleat.quorum.terms import Act, Durable, Entry, Group, Member, Message, Save, Snapshot, Times, What
+from lichencleat.quorum.voter import Voter
+
+SNAPSHOT_STATE = b"the state"  # what it holds is of no matter here
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """How much may happen in one history; each one more makes far more states."""
+
+    terms: int = 2
+    cuts: int = 1
+    proposals: int = 1
+    repeats: int = 0
+    on_the_way: int = 8
+    changes: tuple[tuple[str, int], ...] = ()  # ("add" or "remove", seat), in turn
+    compactions: int = 0
+    stands: tuple[int, ...] = ()  # seats that may stand, in turn; none: any one, any time
+    late_writes: bool = True  # a save may be confirmed after anything else; else at once
+
+
+class Timeless:
+    """Mixed into a voter: it heeds no clock."""
+
+    def rest(self, now: int) -> None:
+        pass
+
+    def hears_leader(self, now: int) -> bool:
+        return False
+
+
+def make_voter(kind: type[Voter], seat: int, durable: Durable) -> Voter:
+    timeless = type(f"Timeless{kind.__name__}", (Timeless, kind), {})
+    return timeless(seat, durable, Times(), random.Random(seat), 0)
+
+
+class Disk:
+    """What was confirmed, and the saves on their way."""
+
+    __slots__ = ("durable", "pending")
+
+    def __init__(self, durable: Durable, pending: tuple[Save, ...] = ()) -> None:
+        self.durable, self.pending = durable, pending
+
+    def after(self, count: int) -> Durable:
+        """With the first `count` of the saves on their way."""
+        found = self.durable
+        for save in self.pending[:count]:
+            found = written(found, save)
+        return found
+
+
+def written(durable: Durable, save: Save) -> Durable:
+    snapshot = save.snapshot or durable.snapshot
+    base = durable.snapshot.index if durable.snapshot else 0
+    kept = durable.entries[: max(0, save.first - base - 1)]
+    entries = [*kept, *save.entries][: max(0, save.last - base)]
+    if save.base > base:
+        entries = entries[save.base - base :] if len(entries) >= save.base - base else []
+        if save.first > save.base:
+            entries = [*entries[: save.first - save.base - 1], *save.entries]
+    return Durable(save.term, save.vote, snapshot, entries)
+
+
+class QuorumWorld:
+    def __init__(self, kind: type[Voter], seats: int, limits: Limits, spare: int = 0) -> None:
+        """`seats` voters, numbered from 1; `spare` more with empty disks that may be added."""
+        self.kind, self.limits = kind, limits
+        self.members = {seat: Member(seat, f"v{seat}", "", 0) for seat in range(1, seats + spare + 1)}
+        group = Group(tuple(self.members[seat] for seat in range(1, seats + 1)))
+        self.voters: dict[int, Voter] = {}
+        self.disks: dict[int, Disk] = {}
+        for seat in self.members:
+            founded = Snapshot(0, 0, group, b"") if seat <= seats else None
+            self.disks[seat] = Disk(Durable(snapshot=founded))
+            self.voters[seat] = make_voter(kind, seat, self.disks[seat].durable)
+        self.flying: tuple[Message, ...] = ()
+        self.leaders: dict[int, int] = {}  # term -> seat, of all that ever led
+        self.applied: tuple[Entry, ...] = ()  # by any member, from index 1 on
+        self.cuts = self.proposals = self.repeats = self.changes = self.compactions = self.stood = 0
+        self.wrong: str | None = None
+
+    # -- as a World ----------------------------------------------------------------------------------
+
+    def actions(self) -> Iterator[Hashable]:
+        limits = self.limits
+        for seat, voter in self.voters.items():
+            if self.disks[seat].pending:
+                yield "saved", seat
+            if self.may_stand(seat, voter):
+                yield "stand", seat
+            if voter.role is Role.LEADER:
+                if self.proposals < limits.proposals:
+                    yield "propose", seat
+                if self.changes < len(limits.changes):
+                    yield "change", seat
+            if self.compactions < limits.compactions and voter.handed > voter.entries.base:
+                yield "compact", seat
+            if self.cuts < limits.cuts:
+                for kept in range(len(self.disks[seat].pending) + 1):
+                    yield "cut", seat, kept
+        for message in dict.fromkeys(self.flying):
+            yield "deliver", message
+            if self.repeats < limits.repeats:
+                yield "repeat", message
+
+    def may_stand(self, seat: int, voter: Voter) -> bool:
+        stands = self.limits.stands
+        return (
+            voter.role is not Role.LEADER
+            and voter.term < self.limits.terms
+            and seat in voter.voters
+            and (not stands or (self.stood < len(stands) and stands[self.stood] == seat))
+        )
+
+    def after(self, action: Any) -> QuorumWorld:
+        world = copy.copy(self)
+        world.voters, world.disks = dict(self.voters), dict(self.disks)
+        world.leaders = dict(self.leaders)
+        what, rest = action[0], action[1:]
+        getattr(world, f"do_{what}")(*rest)
+        return world
+
+    def key(self) -> Hashable:
+        return (
+            tuple(fingerprint(each) for each in self.voters.values()),
+            tuple(
+                (each.durable.term, each.durable.vote, tuple(each.durable.entries), len(each.pending))
+                for each in self.disks.values()
+            ),
+            frozenset(Counter(self.flying).items()),
+            tuple(self.leaders.items()),
+            self.applied,
+            (self.cuts, self.proposals, self.repeats, self.changes, self.compactions, self.stood),
+        )
+
+    def violation(self) -> str | None:
+        return self.wrong
+
+    # -- what happens --------------------------------------------------------------------------------
+
+    def touch(self, seat: int) -> Voter:
+        """That voter, to be changed in this world alone."""
+        voter = self.voters[seat] = twin(self.voters[seat])
+        return voter
+
+    def do_saved(self, seat: int) -> None:
+        disk, voter = self.disks[seat], self.touch(seat)
+        save, rest = disk.pending[0], disk.pending[1:]
+        self.disks[seat] = Disk(written(disk.durable, save), rest)
+        voter.saved(0, save.number)
+        self.pull(seat)
+
+    def do_stand(self, seat: int) -> None:
+        self.stood += 1
+        self.touch(seat).stand(0, False)
+        self.pull(seat)
+
+    def do_propose(self, seat: int) -> None:
+        self.proposals += 1
+        self.touch(seat).propose(0, None, b"%d" % self.proposals)
+        self.pull(seat)
+
+    def do_change(self, seat: int) -> None:
+        what, whom = self.limits.changes[self.changes]
+        self.changes += 1
+        voter = self.touch(seat)
+        group = voter.entries.group
+        wanted = changed(group, self.members[whom]) if what == "add" else without(group, whom)
+        voter.change(0, None, wanted)
+        self.pull(seat)
+
+    def do_compact(self, seat: int) -> None:
+        self.compactions += 1
+        voter = self.touch(seat)
+        voter.compact(voter.handed, SNAPSHOT_STATE)
+        self.pull(seat)
+
+    def do_cut(self, seat: int, kept: int) -> None:
+        self.cuts += 1
+        found = self.disks[seat].after(kept)
+        self.disks[seat] = Disk(found)
+        self.voters[seat] = make_voter(self.kind, seat, found)
+        self.pull(seat)
+
+    def do_deliver(self, message: Message) -> None:
+        left = list(self.flying)
+        left.remove(message)
+        self.flying = tuple(left)
+        self.touch(message.to).hears(0, message)
+        self.pull(message.to)
+
+    def do_repeat(self, message: Message) -> None:
+        self.repeats += 1
+        self.touch(message.to).hears(0, message)
+        self.pull(message.to)
+
+    def pull(self, seat: int) -> None:
+        voter = self.voters[seat]
+        while (decision := voter.next_decision()) is not None:
+            if decision.act is Act.SAVE:
+                assert decision.save is not None
+                disk = self.disks[seat]
+                if self.limits.late_writes:
+                    self.disks[seat] = Disk(disk.durable, (*disk.pending, decision.save))
+                else:
+                    self.disks[seat] = Disk(written(disk.durable, decision.save))
+                    voter.saved(0, decision.save.number)
+            elif decision.act is Act.SEND:
+                assert decision.message is not None
+                if len(self.flying) < self.limits.on_the_way:  # else it is lost
+                    self.flying = (*self.flying, decision.message)
+            elif decision.act is Act.APPLY:
+                assert decision.entry is not None
+                self.judge_applied(seat, decision.index, decision.entry)
+            elif decision.act is Act.LEAVE:
+                self.wrong = self.wrong or f"{seat} leaves: {decision.reason}"
+        if voter.role is Role.LEADER and self.leaders.setdefault(voter.term, seat) != seat:
+            self.wrong = self.wrong or f"{seat} and {self.leaders[voter.term]} lead in term {voter.term}"
+
+    def judge_applied(self, seat: int, index: int, entry: Entry) -> None:
+        if index <= len(self.applied):
+            if self.applied[index - 1] != entry:
+                self.wrong = f"{seat} applies {entry} as {index}, another {self.applied[index - 1]}"
+        elif index == len(self.applied) + 1:
+            self.applied = (*self.applied, entry)
+        else:
+            self.wrong = f"{seat} applies {index} when {len(self.applied)} were applied"
+
+
+def twin(voter: Voter) -> Voter:
+    """A copy that shares nothing that changes."""
+    other = copy.copy(voter)
+    other.entries = voter.entries.copy()
+    other.writes = copy.copy(voter.writes)
+    other.writes.pending = deque(voter.writes.pending)
+    other.arrival = copy.copy(voter.arrival)
+    other.outbox, other.telling = deque(voter.outbox), deque(voter.telling)
+    other.tickets = dict(voter.tickets)
+    if voter.lead is not None:
+        lead = other.lead = copy.copy(voter.lead)
+        lead.progress = {seat: copy.copy(each) for seat, each in voter.lead.progress.items()}
+        lead.hungry, lead.waiting = dict(voter.lead.hungry), dict(voter.lead.waiting)
+        lead.reads = list(voter.lead.reads)
+    return other
+
+
+def fingerprint(voter: Voter) -> Hashable:
+    lead = voter.lead
+    return (
+        (voter.role.value, voter.term, voter.vote, voter.leader, voter.votes, voter.commit, voter.handed),
+        (voter.entries.base, tuple(voter.entries.held), voter.verified, voter.writes.durable),
+        (tuple(voter.outbox), voter.writes.confirmed, voter.writes.number, voter.writes.term_number),
+        None
+        if lead is None
+        else tuple(
+            (seat, each.match, each.next, each.probing, each.ahead, each.told, each.round)
+            for seat, each in lead.progress.items()
+        ),
+    )
+
+
+def wanted_entries(world: QuorumWorld) -> list[bytes]:
+    """The commands applied so far."""
+    return [each.data for each in world.applied if each.what == What.COMMAND]
--- /dev/null
+++ b/lichencleat/lab/sim/run.py
@@ -0,0 +1,130 @@
+"""One run by its seed, and many on several cores: `python -m lichencleat.lab.sim.run --seeds 1000`."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+
+import click
+
+from lichencleat.lab.checkers.linear import judge_facts
+from lichencleat.lab.sim.clients import SimClient
+from lichencleat.lab.sim.clockwork import Clockwork
+from lichencleat.lab.sim.faults import Cause, Fault, draw, shrink
+from lichencleat.lab.sim.group import SimGroup
+from lichencleat.lab.sim.network import Network
+from lichencleat.lab.sim.variants import VARIANTS
+from lichencleat.quorum import following
+from lichencleat.quorum.voter import Voter
+
+TROUBLE = 6_000_000  # µs in which faults begin
+CALM = 6_000_000  # µs after the last fault by which everything has to be well again: ten elections
+CLIENTS, CALLS = 3, 100
+
+
+@dataclass(slots=True)
+class Ran:
+    seed: int
+    wrong: str | None = None
+    faults: list[Fault] = field(default_factory=list)
+    calls: int = 0
+    answered: int = 0
+    entries: int = 0
+    terms: int = 0
+    digest: str = ""  # of all that the clients saw: the same for the same seed
+
+
+def run(seed: int, kind: type[Voter] = Voter, faults: list[Fault] | None = None) -> Ran:
+    rng = random.Random(f"quorum {seed}")
+    clockwork = Clockwork()
+    network = Network(clockwork, random.Random(rng.randrange(1 << 60)))
+    voters = rng.choice([3, 3, 3, 5])
+    spare = rng.choice([0, 1])
+    group = SimGroup(clockwork, network, rng, voters, spare, kind, compact_each=rng.choice([7, 40, 400]))
+    drawn = draw(random.Random(rng.randrange(1 << 60)), list(group.members), rng.randint(1, 12), TROUBLE)
+    clients = [
+        SimClient(group, f"c{n}", random.Random(rng.randrange(1 << 60)), CALLS) for n in range(CLIENTS)
+    ]
+    least = following.BYTES_MOST
+    following.BYTES_MOST = rng.choice([1, 100, least])  # an entry a message, a few, all
+    result = Ran(seed, faults=drawn if faults is None else faults)
+    try:
+        group.start()
+        Cause(group, rng).plan(result.faults)
+        for each in clients:
+            each.start()
+        over = max((each.at + each.span for each in result.faults), default=0)
+        clockwork.run(over, lambda: group.watch.wrong is not None)
+        for each in group.members.values():  # who left by itself is started by its operator
+            each.go_on()
+            if not each.up:
+                each.start()
+        clockwork.run(over + CALM, lambda: group.watch.wrong is not None)
+    finally:
+        following.BYTES_MOST = least
+    history = [call for each in clients for call in each.history]
+    result.calls, result.entries = len(history), len(group.watch.entries)
+    result.answered = sum(each.told is not None or each.returned < 1 << 62 for each in history)
+    result.terms = max(group.watch.leaders, default=0)
+    result.digest = hashlib.blake2b("\n".join(map(str, history)).encode(), digest_size=8).hexdigest()
+    result.wrong = group.watch.wrong or judge_facts(history) or well_again(group, clients, over)
+    return result
+
+
+def well_again(group: SimGroup, clients: list[SimClient], over: int) -> str | None:
+    """Once the faults have ended a leader is there, and clients are answered."""
+    leader = group.leader()
+    if leader is None:
+        return "no leader long after the last fault"
+    for each in clients:
+        late = [call for call in each.history if call.returned > 1 << 61 and call is each.call]
+        if late and group.clockwork.now - late[0].called > CALM // 2:
+            return f"{late[0]} is not answered long after the last fault"
+    return None
+
+
+def one(job: tuple[int, str]) -> Ran:
+    seed, variant = job
+    return run(seed, VARIANTS[variant])
+
+
+def shortened(ran: Ran, kind: type[Voter]) -> list[Fault]:
+    """The fewest faults of a failing run that still fail it, in any way."""
+    return shrink(ran.faults, lambda fewer: run(ran.seed, kind, fewer).wrong is not None)
+
+
+@click.command()
+@click.option("--seeds", default=100, show_default=True, help="How many runs.")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--cores", default=1, show_default=True)
+@click.option("--variant", default="none", type=click.Choice(sorted(VARIANTS)), help="A planted mistake.")
+@click.option("--most", default=3, show_default=True, help="Stop after so many failing seeds.")
+def main(seeds: int, first: int, cores: int, variant: str, most: int) -> None:
+    """Runs a group through drawn faults, one run a seed, and tells what broke."""
+    failed: list[Ran] = []
+    sums = dict.fromkeys(("runs", "faults", "calls", "answered", "entries", "terms"), 0)
+    jobs = [(seed, variant) for seed in range(first, first + seeds)]
+    with ProcessPoolExecutor(cores) as pool:
+        for ran in pool.map(one, jobs, chunksize=4):
+            sums["runs"] += 1
+            sums["faults"] += len(ran.faults)
+            for name in ("calls", "answered", "entries", "terms"):
+                sums[name] += getattr(ran, name)
+            if ran.wrong is not None:
+                failed.append(ran)
+                if len(failed) >= most:
+                    pool.shutdown(cancel_futures=True)
+                    break
+    click.echo(", ".join(f"{count} {name}" for name, count in sums.items()))
+    for ran in failed:
+        click.echo(f"seed {ran.seed}: {ran.wrong}")
+        for fault in shortened(ran, VARIANTS[variant]):
+            click.echo(f"    {fault}")
+    if failed:
+        raise SystemExit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lichencleat/quorum/arrival.py
@@ -0,0 +1,33 @@
+"""A snapshot on its way in, piece by piece; no I/O."""
+
+from __future__ import annotations
+
+from lichencleat.quorum.terms import Message, Snapshot
+
+SNAPSHOT_MOST = 12 << 20  # bytes: a store's value holds it, with room for the group
+
+
+class Arrival:
+    """At most one at a time; another one's first piece takes its place."""
+
+    def __init__(self) -> None:
+        self.first: Message | None = None
+        self.data = b""
+
+    def clear(self) -> None:
+        self.first, self.data = None, b""
+
+    def take(self, m: Message) -> Snapshot | int:
+        """The whole snapshot, or how many bytes of it are here: the next piece begins there."""
+        if m.offset == 0 and m.group is not None and m.size <= SNAPSHOT_MOST:
+            self.first, self.data = m, b""
+        first = self.first
+        if first is None or first.group is None or (first.index, first.past) != (m.index, m.past):
+            return 0
+        if m.offset == len(self.data):
+            self.data += m.data
+        if len(self.data) < first.size:
+            return len(self.data)
+        snapshot = Snapshot(first.index, first.past, first.group, self.data)
+        self.clear()
+        return snapshot
--- /dev/null
+++ b/lichencleat/quorum/state.py
@@ -0,0 +1,102 @@
+"""What the log's entries make: parts that each take their own commands, and the sessions before them; no I/O.
+
+Every member that has applied the same entries holds the same state to the byte. So a part hangs on nothing
+but its commands: no clock, no chance, no order of a set.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+import msgspec
+
+from lichencleat.quorum.sessions import Held, Sessions, Verdict
+from lichencleat.quorum.terms import Entry, Group, Snapshot, What
+
+encode = msgspec.msgpack.encode
+Command = tuple[str, msgspec.Raw]  # the part's name, and what is its own
+decode_command = msgspec.msgpack.Decoder(Command).decode
+
+
+class Part(Protocol):
+    """One subject that the group decides on."""
+
+    def apply(self, index: int, command: msgspec.Raw) -> Any:
+        """Takes an entry's command; what it gives is encoded as the result. Never raises: a command that is
+        none is answered as one.
+        """
+
+    def read(self, query: Any) -> Any: ...
+
+    def dump(self) -> Any:
+        """All that it holds, as MessagePack has it."""
+
+    def load(self, dumped: msgspec.Raw) -> None: ...
+
+
+class Dumped(msgspec.Struct, array_like=True):
+    sessions: list[tuple[int, Held]]
+    parts: dict[str, msgspec.Raw]
+
+
+decode_dumped = msgspec.msgpack.Decoder(Dumped).decode
+
+
+def command(part: str, what: Any) -> bytes:
+    return encode((part, what))
+
+
+class State:
+    def __init__(self, parts: dict[str, Part]) -> None:
+        self.parts = parts
+        self.sessions = Sessions()
+        self.applied = 0  # index of the last entry
+
+    def apply(self, index: int, entry: Entry) -> tuple[Verdict, bytes]:
+        """The entry that follows the last one. The result's meaning is the part's."""
+        assert index == self.applied + 1, f"entry {index} after {self.applied}"
+        self.applied = index
+        if entry.what == What.SESSION:
+            self.sessions.open(index)
+            return Verdict.DONE, encode(index)
+        if entry.what != What.COMMAND:
+            return Verdict.DONE, b""
+        if entry.session:
+            return self.sessions.take(
+                index, entry.session, entry.number, lambda: self.give(index, entry.data)
+            )
+        return Verdict.DONE, self.give(index, entry.data)
+
+    def give(self, index: int, data: bytes) -> bytes:
+        """Guards the log against an entry that no part knows: it stays there for ever, and must change
+        nothing.
+        """
+        try:
+            name, what = decode_command(data)
+        except msgspec.MsgspecError:
+            return encode(None)
+        part = self.parts.get(name)
+        return encode(part.apply(index, what) if part is not None else None)
+
+    def read(self, part: str, query: Any) -> Any:
+        return self.parts[part].read(query) if part in self.parts else None
+
+    def dump(self) -> bytes:
+        parts = {name: msgspec.Raw(encode(each.dump())) for name, each in self.parts.items()}
+        return encode(Dumped(self.sessions.dump(), parts))
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Raises msgspec.MsgspecError where the snapshot is not one of this state."""
+        self.applied = snapshot.index
+        if not snapshot.data:
+            return
+        dumped = decode_dumped(snapshot.data)
+        self.sessions.load(dumped.sessions)
+        for name, part in self.parts.items():
+            if name in dumped.parts:
+                part.load(dumped.parts[name])
+
+
+def founded(group: Group) -> Snapshot:
+    """What a group begins with: nothing but who its members are."""
+    return Snapshot(0, 0, group, b"")
