--- a/lichencleat/lab/explore.py
+++ b/lichencleat/lab/explore.py
@@ -54,15 +54,17 @@
             for action in world.actions():
                 after = world.after(action)
                 found.steps += 1
+                found.violation = after.violation()
+                if (
+                    found.violation is not None
+                ):  # before anything else: a wrong step may lead to a known state
+                    found.history = [*path(parents, mark), action]
+                    return found
                 reached = hash(after.key())
                 if reached in parents:
                     continue
                 parents[reached] = (mark, action)
                 found.states += 1
-                found.violation = after.violation()
-                if found.violation is not None:
-                    found.history = path(parents, reached)
-                    return found
                 if found.states >= most:
                     return found
                 following.append((reached, after))
--- a/lichencleat/lab/explore_quorum.py
+++ b/lichencleat/lab/explore_quorum.py
@@ -10,13 +10,13 @@
 import copy
 import random
 from collections import Counter, deque
-from collections.abc import Hashable, Iterator
+from collections.abc import Collection, Hashable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
 from lichencleat.quorum.group import changed, without
 from lichencleat.quorum.member import Role
-from lichencleat.quorum.terms import Act, Durable, Entry, Group, Member, Message, Save, Snapshot, Times, What
+from lichencleat.quorum.terms import Act, Durable, Entry, Group, Member, Message, Save, Snapshot, Times
 from lichencleat.quorum.voter import Voter
 
 SNAPSHOT_STATE = b"the state"  # what it holds is of no matter here
@@ -33,6 +33,7 @@
     on_the_way: int = 8
     changes: tuple[tuple[str, int], ...] = ()  # ("add" or "remove", seat), in turn
     compactions: int = 0
+    reads: int = 0
     stands: tuple[int, ...] = ()  # seats that may stand, in turn; none: any one, any time
     late_writes: bool = True  # a save may be confirmed after anything else; else at once
 
@@ -95,7 +96,8 @@
         self.flying: tuple[Message, ...] = ()
         self.leaders: dict[int, int] = {}  # term -> seat, of all that ever led
         self.applied: tuple[Entry, ...] = ()  # by any member, from index 1 on
-        self.cuts = self.proposals = self.repeats = self.changes = self.compactions = self.stood = 0
+        self.cuts = self.proposals = self.repeats = self.changes = self.compactions = 0
+        self.stood = self.reads = 0
         self.wrong: str | None = None
 
     # -- as a World ----------------------------------------------------------------------------------
@@ -110,6 +112,8 @@
             if voter.role is Role.LEADER:
                 if self.proposals < limits.proposals:
                     yield "propose", seat
+                if self.reads < limits.reads:
+                    yield "read", seat
                 if self.changes < len(limits.changes):
                     yield "change", seat
             if self.compactions < limits.compactions and voter.handed > voter.entries.base:
@@ -125,8 +129,7 @@
     def may_stand(self, seat: int, voter: Voter) -> bool:
         stands = self.limits.stands
         return (
-            voter.role is not Role.LEADER
-            and voter.term < self.limits.terms
+            voter.term < self.limits.terms
             and seat in voter.voters
             and (not stands or (self.stood < len(stands) and stands[self.stood] == seat))
         )
@@ -149,7 +152,7 @@
             frozenset(Counter(self.flying).items()),
             tuple(self.leaders.items()),
             self.applied,
-            (self.cuts, self.proposals, self.repeats, self.changes, self.compactions, self.stood),
+            (self.cuts, self.proposals, self.repeats, self.changes, self.compactions, self.stood, self.reads),
         )
 
     def violation(self) -> str | None:
@@ -170,8 +173,11 @@
         self.pull(seat)
 
     def do_stand(self, seat: int) -> None:
+        """A leader that stands has noticed that nobody hears it, and given up before."""
         self.stood += 1
-        self.touch(seat).stand(0, False)
+        voter = self.touch(seat)
+        voter.follow(0, voter.term)
+        voter.stand(0, False)
         self.pull(seat)
 
     def do_propose(self, seat: int) -> None:
@@ -179,6 +185,12 @@
         self.touch(seat).propose(0, None, b"%d" % self.proposals)
         self.pull(seat)
 
+    def do_read(self, seat: int) -> None:
+        """What was applied by anyone before the read began must be in its answer."""
+        self.reads += 1
+        self.touch(seat).read(0, ("read", len(self.applied)))
+        self.pull(seat)
+
     def do_change(self, seat: int) -> None:
         what, whom = self.limits.changes[self.changes]
         self.changes += 1
@@ -231,6 +243,8 @@
             elif decision.act is Act.APPLY:
                 assert decision.entry is not None
                 self.judge_applied(seat, decision.index, decision.entry)
+            elif decision.act is Act.READ and decision.index < decision.ticket[1]:
+                self.wrong = f"{seat} reads at {decision.index}, when {decision.ticket[1]} were applied"
             elif decision.act is Act.LEAVE:
                 self.wrong = self.wrong or f"{seat} leaves: {decision.reason}"
         if voter.role is Role.LEADER and self.leaders.setdefault(voter.term, seat) != seat:
@@ -274,10 +288,45 @@
         else tuple(
             (seat, each.match, each.next, each.probing, each.ahead, each.told, each.round)
             for seat, each in lead.progress.items()
-        ),
+        )
+        + (tuple(lead.reads), lead.round, lead.proved),
     )
 
 
-def wanted_entries(world: QuorumWorld) -> list[bytes]:
-    """The commands applied so far."""
-    return [each.data for each in world.applied if each.what == What.COMMAND]
+def settled(world: QuorumWorld, among: Collection[int]) -> QuorumWorld:
+    """All that is on its way among these seats arrives and is saved, until nothing is; what goes elsewhere is
+    lost.
+    """
+    while True:
+        flying = [each for each in world.flying if each.sender in among and each.to in among]
+        saving = [seat for seat in among if world.disks[seat].pending]
+        if saving:
+            world = world.after(("saved", saving[0]))
+        elif flying:
+            world = world.after(("deliver", flying[0]))
+        else:
+            return quiet(world)
+
+
+def quiet(world: QuorumWorld) -> QuorumWorld:
+    """Whatever is on its way is lost."""
+    world = copy.copy(world)
+    world.flying = ()
+    return world
+
+
+def stood(
+    world: QuorumWorld, seat: int, times: int, among: Collection[int], saves: bool = True
+) -> QuorumWorld:
+    """That seat stands so many times, the last time heard by `among` until it leads; nothing it then sends
+    arrives.
+    """
+    for _ in range(times):
+        world = quiet(world).after(("stand", seat))
+    while world.voters[seat].role is not Role.LEADER:
+        saving = [each for each in among if world.disks[each].pending]
+        flying = [each for each in world.flying if each.sender in among and each.to in among]
+        world = world.after(("saved", saving[0]) if saving else ("deliver", flying[0]))
+    while saves and world.disks[seat].pending:
+        world = world.after(("saved", seat))
+    return world
--- a/lichencleat/lab/sim/clients.py
+++ b/lichencleat/lab/sim/clients.py
@@ -17,7 +17,7 @@
 from lichencleat.quorum.state import command
 from lichencleat.quorum.terms import Entry, What
 
-PATIENCE = 300_000  # µs for one try
+PATIENCE = (200_000, 3_000_000)  # µs for one try, drawn once a client: who waits longer is told older news
 REST = (1_000, 60_000)  # µs between calls
 FACTS = 3  # few, so that clients meet
 
@@ -29,6 +29,7 @@
         self.known: dict[str, tuple[bytes | None, int]] = {}  # what it saw of each fact: value and revision
         self.session = self.number = self.tries = self.made = 0
         self.seat = 0
+        self.patience = rng.randint(*PATIENCE)
         self.call: Call | None = None
         self.entry: Entry | None = None  # that it proposes
         self.timer: Timer | None = None
@@ -72,7 +73,7 @@
             self.group.ask(
                 self.name, self.seat, "read", self.call.what[1], lambda told: self.told(mark, told)
             )
-        self.timer = self.group.clockwork.after(PATIENCE, self.again)
+        self.timer = self.group.clockwork.after(self.patience, self.again)
 
     def again(self) -> None:
         self.seat = 0
--- a/lichencleat/lab/sim/run.py
+++ b/lichencleat/lab/sim/run.py
@@ -17,11 +17,17 @@
 from lichencleat.lab.sim.network import Network
 from lichencleat.lab.sim.variants import VARIANTS
 from lichencleat.quorum import following
+from lichencleat.quorum.terms import Times
 from lichencleat.quorum.voter import Voter
 
 TROUBLE = 6_000_000  # µs in which faults begin
 CALM = 6_000_000  # µs after the last fault by which everything has to be well again: ten elections
 CLIENTS, CALLS = 3, 100
+TIMES = (
+    Times(),
+    Times(),
+    Times(200_000, 300_000, 150_000),
+)  # the last: a leader notices late that it leads no more
 
 
 @dataclass(slots=True)
@@ -42,7 +48,8 @@
     network = Network(clockwork, random.Random(rng.randrange(1 << 60)))
     voters = rng.choice([3, 3, 3, 5])
     spare = rng.choice([0, 1])
-    group = SimGroup(clockwork, network, rng, voters, spare, kind, compact_each=rng.choice([7, 40, 400]))
+    times = rng.choice(TIMES)
+    group = SimGroup(clockwork, network, rng, voters, spare, kind, times, rng.choice([7, 40, 400]))
     drawn = draw(random.Random(rng.randrange(1 << 60)), list(group.members), rng.randint(1, 12), TROUBLE)
     clients = [
         SimClient(group, f"c{n}", random.Random(rng.randrange(1 << 60)), CALLS) for n in range(CLIENTS)
@@ -100,8 +107,9 @@
 @click.option("--first", default=1, show_default=True, help="The first seed.")
 @click.option("--cores", default=1, show_default=True)
 @click.option("--variant", default="none", type=click.Choice(sorted(VARIANTS)), help="A planted mistake.")
+@click.option("--shrink/--no-shrink", "short", default=True, help="Look for the fewest faults that fail.")
 @click.option("--most", default=3, show_default=True, help="Stop after so many failing seeds.")
-def main(seeds: int, first: int, cores: int, variant: str, most: int) -> None:
+def main(seeds: int, first: int, cores: int, variant: str, short: bool, most: int) -> None:
     """Runs a group through drawn faults, one run a seed, and tells what broke."""
     failed: list[Ran] = []
     sums = dict.fromkeys(("runs", "faults", "calls", "answered", "entries", "terms"), 0)
@@ -120,7 +128,7 @@
     click.echo(", ".join(f"{count} {name}" for name, count in sums.items()))
     for ran in failed:
         click.echo(f"seed {ran.seed}: {ran.wrong}")
-        for fault in shortened(ran, VARIANTS[variant]):
+        for fault in shortened(ran, VARIANTS[variant]) if short else ran.faults:
             click.echo(f"    {fault}")
     if failed:
         raise SystemExit(1)
--- a/lichencleat/quorum/following.py
+++ b/lichencleat/quorum/following.py
@@ -53,7 +53,10 @@
         """Its log agrees up to there. Is that news?"""
         news = match > self.match
         self.match = max(self.match, match)
-        if news or match >= self.next - 1:
+        # while a snapshot is on its way, only news of it asks for more: else a follower whose disk is slow,
+        # and
+        # which says so at once, would be sent the same piece again at the link's own pace
+        if news or (match >= self.next - 1 and not self.snapshot):
             self.probing = self.told = False
         self.next = max(self.next, self.match + 1)
         self.ahead = tuple(each for each in self.ahead if each > self.match)
--- /dev/null
+++ b/tests/quorum/test_checkers.py
@@ -0,0 +1,98 @@
+"""The judges themselves: planted violations are found, and what is right raises nothing."""
+
+import random
+
+from lichencleat.lab.checkers.group import GroupWatch
+from lichencleat.lab.checkers.linear import NEVER, Call, judge_facts, linear, register
+
+
+def call(client, what, begin, end, told):
+    return Call(client, what, begin, told, end)
+
+
+def drawn(rng, clients=4, calls=12):
+    """A history that is right: each call happens at one drawn moment between its call and its answer."""
+    made, state, at = [], {}, 0
+    free = dict.fromkeys(range(clients), 0)
+    for number in range(calls * clients):
+        at += rng.randrange(1, 40)
+        client = rng.randrange(clients)
+        begin = max(free[client], at - rng.randrange(60))
+        if begin > at:
+            continue
+        name, value = f"f{rng.randrange(2)}", f"v{number}".encode()
+        kind = rng.choice(["put", "cas", "get"])
+        if kind == "get":
+            what, told = ("get", name), state.get(name)
+        elif kind == "put":
+            what, told, state[name] = ("put", name, value), True, value
+        else:
+            over = rng.choice([state.get(name), b"other"])
+            what, told = ("cas", name, value, over), over == state.get(name)
+            if told:
+                state[name] = value
+        end = free[client] = at + rng.randrange(60)
+        made.append(call(f"c{client}", what, begin, end, told))
+    return made
+
+
+def test_a_thousand_histories_that_are_right_raise_nothing():
+    rng = random.Random(5)
+    for _ in range(1_000):
+        assert judge_facts(drawn(rng)) is None
+
+
+def test_a_read_of_what_was_replaced_before_it_began_is_found():
+    rng, found, planted = random.Random(6), 0, 0
+    while planted < 200:
+        history = drawn(rng)
+        reads = [each for each in history if each.what[0] == "get" and each.told is not None]
+        if not reads:
+            continue
+        planted += 1
+        wrong = rng.choice(reads)
+        wrong.told = b"never written"
+        found += judge_facts(history) is not None
+    assert found == planted
+
+
+def test_a_stale_read_a_lost_write_and_a_write_done_twice():
+    base = [call("a", ("put", "f", b"1"), 0, 10, True), call("a", ("put", "f", b"2"), 20, 30, True)]
+    assert judge_facts([*base, call("b", ("get", "f"), 40, 50, b"2")]) is None
+    assert judge_facts([*base, call("b", ("get", "f"), 40, 50, b"1")]).startswith("fact f is no single thing")
+    assert judge_facts([*base, call("b", ("get", "f"), 25, 50, b"1")]) is None  # it overlaps the second
+    again = [*base, call("b", ("get", "f"), 40, 50, b"2"), call("b", ("get", "f"), 60, 70, b"1")]
+    assert judge_facts(again) is not None
+    both = [*base, call("b", ("cas", "f", b"3", b"1"), 40, 50, True)]
+    assert judge_facts(both) is not None
+
+
+def test_what_was_never_answered_may_have_happened_or_not():
+    maybe = Call("a", ("put", "f", b"1"), 0)
+    assert judge_facts([maybe, call("b", ("get", "f"), 90, 95, b"1")]) is None
+    assert judge_facts([maybe, call("b", ("get", "f"), 90, 95, None)]) is None
+    back = [call("b", ("get", "f"), 90, 95, b"1"), call("b", ("get", "f"), 96, 99, None)]
+    assert judge_facts([maybe, *back]) is not None
+
+
+def test_a_search_that_is_too_long_is_no_verdict():
+    calls = [Call(f"c{n}", ("put", b"%d" % n), 0, True, 10) for n in range(12)]
+    assert linear([*calls, Call("x", ("get", None), 20, b"none", 30)], None, register, most=500) is None
+    assert NEVER > 10**18
+
+
+def test_the_watch_finds_each_planted_violation():
+    def watched(*said):
+        watch = GroupWatch()
+        for name, *what in said:
+            getattr(watch, name)(*what)
+        return watch.wrong
+
+    assert watched(("leads", 1, 1), ("leads", 1, 1), ("leads", 2, 2)) is None
+    assert "two leaders" in watched(("leads", 1, 3), ("leads", 2, 3))
+    assert watched(("applies", 1, 1, "a"), ("applies", 2, 1, "a"), ("applies", 1, 2, "b")) is None
+    assert "applies b as 1" in watched(("applies", 1, 1, "a"), ("applies", 2, 1, "b"))
+    assert "only 0" in watched(("applies", 1, 2, "a"))
+    assert "takes effect" in watched(("takes_effect", 1, 4, "x"), ("takes_effect", 1, 5, "x"))
+    assert "was told" in watched(("takes_effect", 1, 4, "x"), ("confirmed", "c", "x", 5))
+    assert "was told" in watched(("confirmed", "c", "x", 5))
