--- a/lichencleat/chosen/file.py
+++ b/lichencleat/chosen/file.py
@@ -110,6 +110,13 @@
 
 
 def read_text(path: str, text: str) -> tuple[Chosen, Place]:
+    chosen, place = read_as(path, text, Chosen)
+    sense(path, place, chosen)
+    return chosen, place
+
+
+def read_as(path: str, text: str, kind: type[Any]) -> tuple[Any, Place]:
+    """The text as a struct of that kind. Raises WrongFileError, with the line."""
     try:
         place = Place(yaml.compose(text, Loader=yaml.SafeLoader))
         twice(path, place.root)
@@ -120,11 +127,9 @@
         what = getattr(wrong, "problem", None) or "can't be read"
         raise WrongFileError(f"{path}{line}: not YAML: {what}; mend it there") from wrong
     try:
-        chosen = msgspec.convert({} if raw is None else raw, Chosen, strict=True)
+        return msgspec.convert({} if raw is None else raw, kind, strict=True), place
     except msgspec.ValidationError as wrong:
-        raise WrongFileError(mistake(path, place, str(wrong))) from wrong
-    sense(path, place, chosen)
-    return chosen, place
+        raise WrongFileError(mistake(path, place, str(wrong), kind)) from wrong
 
 
 def twice(path: str, root: yaml.Node | None) -> None:
@@ -144,14 +149,14 @@
             waiting += node.value
 
 
-def mistake(path: str, place: Place, said: str) -> str:
+def mistake(path: str, place: Place, said: str, root: type[Any]) -> str:
     """msgspec's words, with the line; and for an unknown key, those that there are."""
     what, _, where = said.partition(" - at `")
     where = where.rstrip("`") or "$"
     unknown = re.search(r"unknown field `(.+)`", what)
     if unknown:
         line = place.key_line(where, unknown[1])
-        known = ", ".join(sorted(fields_at(where)))
+        known = ", ".join(sorted(fields_at(where, root)))
         what = f"unknown key {unknown[1]!r}; known here: {known}"
     else:
         line = place.line(where)
@@ -159,9 +164,9 @@
     return f"{path}{at}: {where.removeprefix('$').lstrip('.') or 'the file'}: {what}"
 
 
-def fields_at(where: str) -> list[str]:
+def fields_at(where: str, root: type[Any]) -> list[str]:
     """The keys that the struct at that path has."""
-    kind: Any = Chosen
+    kind: Any = root
     for key, _ in PART.findall(where):
         if key and isinstance(kind, type) and issubclass(kind, Struct):
             kind = next(each.type for each in msgspec.structs.fields(kind) if each.name == key)
--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -12,9 +12,21 @@
 NOUNS = {
     "config": ("lichencleat.cli.chosen", "The operators' file: check it, show what is in force."),
     "flows": ("lichencleat.cli.flows", "Flow export: a collector that adds up who sent what."),
+    "logs": ("lichencleat.cli.logs", "Logs of many processes, in one order."),
+    "quorum": (
+        "lichencleat.cli.quorum",
+        "Voters that agree on small facts: make a group, run it, change it.",
+    ),
     "store": ("lichencleat.cli.store", "Records that survive cuts: put, get, check, repair."),
 }
-EXTRAS = {"yaml": "file", "crc32c": "store", "msgspec": "store", "sortedcontainers": "store", "hdrh": "bench"}
+EXTRAS = {
+    "yaml": "file",
+    "crc32c": "store",
+    "msgspec": "store",
+    "sortedcontainers": "store",
+    "hdrh": "bench",
+    "structlog": "fleet",
+}
 
 
 class Nouns(click.Group):
--- /dev/null
+++ b/lichencleat/lab/rig/heldback.py
@@ -0,0 +1,101 @@
+"""A real directory whose unflushed bytes stay in the process: a SIGKILL is then a cut of power.
+
+What is appended is written to the file only when that is flushed, and names, renames and removals only with
+the directory. So what a kill leaves behind is exactly what was promised to survive, and nothing that the
+machine's memory would have saved.
+"""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+from lichencleat.store.disk import RealDisk
+
+HELD = ".held"  # how a file is called whose name was not flushed yet
+
+
+class Held:
+    """One open file: what is on the disk, and what waits."""
+
+    __slots__ = ("file", "name", "waiting")
+
+    def __init__(self, file: int, name: str) -> None:
+        self.file, self.name, self.waiting = file, name, bytearray()
+
+
+class HeldBackDisk(RealDisk):
+    def __init__(self, path: str, create: bool = False) -> None:
+        super().__init__(path, create)
+        for name in os.listdir(self.directory):  # of a life before: nobody flushed their names
+            if name.endswith(HELD):
+                os.unlink(name, dir_fd=self.directory)
+        self.view = {name: name for name in os.listdir(self.directory)}  # name as seen -> on the disk
+        self.open_names: dict[str, Held] = {}
+
+    def names(self) -> list[str]:
+        return sorted(self.view)
+
+    def open(self, name: str, create: bool = False) -> Any:
+        if create:
+            if name in self.view:
+                raise FileExistsError(17, "File exists", name)
+            at, number = name + HELD, 0
+            while at in self.view.values() or os.path.lexists(f"{self.path}/{at}"):
+                number += 1
+                at = f"{name}.{number}{HELD}"
+            self.view[name] = at
+            held = Held(super().open(at, create=True), name)
+            self.open_names[at] = held
+            return held
+        if name not in self.view:
+            raise FileNotFoundError(2, "No such file or directory", name)
+        at = self.view[name]
+        known = self.open_names.get(at)
+        held = Held(super().open(at), name)
+        if known is not None:
+            held.waiting = known.waiting  # what another handle has written is seen through this one
+        return held
+
+    def append(self, file: Held, data: bytes) -> None:  # type: ignore[override]
+        file.waiting += data
+
+    def read(self, file: Held, offset: int, length: int) -> bytes:  # type: ignore[override]
+        written = super().size(file.file)
+        data = super().read(file.file, offset, length) if offset < written else b""
+        if len(data) < length:
+            begin = max(0, offset - written)
+            data += bytes(file.waiting[begin : begin + length - len(data)])
+        return data
+
+    def flush(self, file: Held) -> None:  # type: ignore[override]
+        data = bytes(file.waiting)
+        super().append(file.file, data)
+        file.waiting.clear()
+        super().flush(file.file)
+
+    def flush_directory(self) -> None:
+        on_disk = set(os.listdir(self.directory))
+        for name, at in list(self.view.items()):
+            if at != name:
+                os.rename(at, name, src_dir_fd=self.directory, dst_dir_fd=self.directory)
+                self.view[name] = name
+                if at in self.open_names:
+                    self.open_names[name] = self.open_names.pop(at)
+        for name in on_disk - set(self.view) - {at for at in on_disk if at.endswith(HELD)}:
+            os.unlink(name, dir_fd=self.directory)
+        super().flush_directory()
+
+    def rename(self, old: str, new: str) -> None:
+        self.view[new] = self.view.pop(old)
+
+    def remove(self, name: str) -> None:
+        if name not in self.view:
+            raise FileNotFoundError(2, "No such file or directory", name)
+        del self.view[name]
+
+    def size(self, file: Held) -> int:  # type: ignore[override]
+        return super().size(file.file) + len(file.waiting)
+
+    def close(self, file: Held) -> None:  # type: ignore[override]
+        super().close(file.file)
--- /dev/null
+++ b/lichencleat/lab/rig/rig.py
@@ -0,0 +1,280 @@
+"""Starts real voters, each with a directory and a log of its own, a relay before each, and ends them whatever
+happens.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from lichencleat.lab.checkers.linear import Call
+from lichencleat.lab.rig.relay import CLIENT, LOCAL, Relays
+from lichencleat.quorum.client import Client, GroupError
+from lichencleat.quorum.facts import Changed, Fact
+
+PATIENCE = 10.0  # s: only a failing test waits so long
+FAST = {"beat_ms": 30, "election_ms": 180, "spread_ms": 180, "transfer_ms": 400}
+GROUP = "rig"
+
+
+def free_port() -> int:
+    with socket.create_server((LOCAL, 0)) as taken:
+        return taken.getsockname()[1]
+
+
+class Voter:
+    """One process of the program; its directory outlives it."""
+
+    def __init__(self, rig: Rig, name: str, disk: str) -> None:
+        self.rig, self.name = rig, name
+        self.port = free_port()
+        self.relay = rig.relays.before(name, self.port)
+        self.directory = rig.path / name
+        self.file = rig.path / f"{name}.yaml"
+        self.log = rig.path / f"{name}.log"
+        self.running: subprocess.Popen | None = None
+        self.chosen = {
+            "group": GROUP,
+            "name": name,
+            "listen": f"{LOCAL}:{self.port}",
+            "address": self.address,
+            "directory": str(self.directory),
+            "members": [self.address],
+            "times": rig.times,
+            "disk": disk,
+        }
+
+    @property
+    def address(self) -> str:
+        return f"{LOCAL}:{self.relay}"
+
+    def write_file(self) -> None:
+        self.chosen["members"] = [each.address for each in self.rig.voters.values()]
+        self.file.write_text(yaml.safe_dump({"quorum": self.chosen}))
+
+    def start(self) -> None:
+        self.write_file()
+        with open(self.log, "ab") as log:
+            self.running = self.rig.program(["quorum", "run", str(self.file)], stderr=log)
+
+    def signal(self, number: int) -> None:
+        if self.running is not None and self.running.poll() is None:
+            os.kill(self.running.pid, number)
+
+    def kill(self) -> None:
+        """Where its disk holds back what was not flushed, this is a cut of power."""
+        self.signal(signal.SIGKILL)
+        self.ended()
+
+    def stop(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self.signal(signal.SIGCONT)
+
+    def ended(self) -> int:
+        """Its exit code, once it has ended."""
+        assert self.running is not None
+        return self.running.wait(PATIENCE)
+
+    def status(self) -> dict[str, Any] | None:
+        """What it says of itself; None where it does not answer."""
+        return self.rig.status(self)
+
+
+class Rig:
+    """Owns the processes, the relays, the clients; all are given back in `close`, also when a test fails."""
+
+    def __init__(
+        self, path: Path, voters: int = 3, disk: str = "held back", times: dict | None = None
+    ) -> None:
+        self.path, self.times = path, times or FAST
+        self.relays = Relays()
+        self.children: list[subprocess.Popen] = []
+        self.clients: list[Client] = []
+        self.voters: dict[str, Voter] = {}
+        for number in range(1, voters + 1):
+            name = f"v{number}"
+            self.voters[name] = Voter(self, name, disk)
+
+    def program(self, words: list[str], **more: Any) -> subprocess.Popen:
+        root = Path(__file__).resolve().parents[3]
+        child = subprocess.Popen([sys.executable, "-m", "lichencleat", *words], cwd=root, **more)
+        self.children.append(child)
+        return child
+
+    def command(self, *words: str) -> tuple[int, str]:
+        """Exit code and output of a command of the program."""
+        made = self.program(list(words), stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        said, _ = made.communicate(timeout=PATIENCE)
+        return made.returncode, said
+
+    def form(self) -> None:
+        """Founds the group with the first voter and adds the others."""
+        first, *others = self.voters.values()
+        for each in self.voters.values():
+            each.write_file()
+        code, said = self.command("quorum", "found", str(first.file))
+        assert code == 0, said
+        for each in self.voters.values():
+            each.start()
+        self.until(lambda: self.leader() is not None, "a leader")
+        for each in others:
+            self.add(each)
+
+    def add(self, voter: Voter) -> None:
+        client = self.client()
+        self.until(lambda: voter.status() is not None, f"{voter.name} to answer")
+        new = voter.status()
+        assert new is not None
+        who = [new["seat"], voter.name, LOCAL, voter.relay, ""]
+        self.ask(client.call, "add", [*who, False], PATIENCE)
+
+        def promoted() -> bool:
+            try:
+                self.ask(client.call, "add", [*who, True], PATIENCE)
+            except GroupError:
+                return False
+            return True
+
+        self.until(promoted, f"{voter.name} to catch up")
+
+    # -- looking -------------------------------------------------------------------------------------
+
+    def client(self) -> Client:
+        addresses = [(LOCAL, each.relay) for each in self.voters.values()]
+        made = self.relays.call(
+            Client, self.relays.reactor, GROUP, addresses, random.Random(len(self.clients))
+        )
+        self.clients.append(made)
+        return made
+
+    def ask(self, call: Callable[..., Any], *args: Any) -> Any:
+        """Does a client's call on the relays' reactor and waits for it. Raises GroupError."""
+        return self.relays.call(call, *args)
+
+    def status(self, voter: Voter) -> dict[str, Any] | None:
+        if voter.running is None or voter.running.poll() is not None:
+            return None
+        made = self.relays.call(
+            Client, self.relays.reactor, GROUP, [(LOCAL, voter.port)], random.Random(1)
+        )  # past the relay: a look is no traffic
+        try:
+            return self.ask(made.call, "status", None, 1.0)
+        except GroupError:
+            return None
+        finally:
+            self.relays.call(made.close)
+
+    def leader(self, among: list[Voter] | None = None) -> Voter | None:
+        """Who leads in the newest term, of those that answer."""
+        said = {each: each.status() for each in among or self.voters.values()}
+        leading = {each: told for each, told in said.items() if told and told["role"] == "leader"}
+        return max(leading, key=lambda each: leading[each]["term"], default=None)
+
+    def until(self, holds: Callable[[], Any], what: str) -> Any:
+        end = time.monotonic() + PATIENCE
+        while time.monotonic() < end:
+            found = holds()
+            if found:
+                return found
+            time.sleep(0.01)
+        raise AssertionError(f"waited {PATIENCE:g} s for {what}\n{self.logs()}")
+
+    def logs(self) -> str:
+        return "\n".join(
+            f"{each.name}: {line}"
+            for each in self.voters.values()
+            if each.log.exists()
+            for line in each.log.read_text().splitlines()[-15:]
+        )
+
+    # -- faults --------------------------------------------------------------------------------------
+
+    def apart(self, here: list[Voter], clients: bool = True) -> set[tuple[str, str]]:
+        """Cuts these voters off from the others, both ways; `clients`: those stay with the others."""
+        inside = {each.name for each in here}
+        outside = set(self.voters) - inside | ({CLIENT} if clients else set())
+        pairs = {(a, b) for a in inside for b in outside}
+        pairs |= {(b, a) for a, b in pairs}
+        self.relays.hold(pairs)
+        return pairs
+
+    def heal(self, pairs: set[tuple[str, str]]) -> None:
+        self.relays.release(pairs)
+
+    def close(self) -> None:
+        for made in self.clients:
+            self.relays.reactor.callFromThread(made.close)
+        for child in self.children:
+            if child.poll() is None:
+                os.kill(child.pid, signal.SIGKILL)
+        for child in self.children:
+            child.wait(PATIENCE)
+            if child.stdout is not None:
+                child.stdout.close()
+        self.relays.close()
+
+
+class Writer:
+    """A client that puts, puts over and reads facts as long as it is told to, and writes down what it saw."""
+
+    def __init__(self, rig: Rig, name: str, facts: int = 2) -> None:
+        self.rig, self.name, self.facts = rig, name, facts
+        self.rng = random.Random(name)
+        self.client = rig.client()
+        self.history: list[Call] = []
+        self.known: dict[str, tuple[bytes | None, int]] = {}
+        self.on = True
+        self.made = 0
+        rig.relays.reactor.callFromThread(self.step)
+
+    def now(self) -> int:
+        return int(self.rig.relays.reactor.seconds() * 1e6)
+
+    def step(self) -> None:
+        if not self.on:
+            return
+        name = f"f{self.rng.randrange(self.facts)}"
+        kind = self.rng.choice(["put", "cas", "get"])
+        value, revision = self.known.get(name, (None, 0))
+        self.made += 1
+        new = f"{self.name}-{self.made}".encode()
+        what: tuple[Any, ...] = {"get": ("get", name), "put": ("put", name, new)}.get(
+            kind, ("cas", name, new, value)
+        )
+        call = Call(self.name, what, self.now())
+        self.history.append(call)
+        if kind == "get":
+            told = self.client.read("facts", name, PATIENCE)
+        else:
+            wanted = ["set", name, new, None if kind == "put" else revision]
+            told = self.client.propose("facts", wanted, PATIENCE)
+        told.addCallbacks(self.answered, lambda failure: None, callbackArgs=(call,))
+        told.addBoth(lambda _: self.rig.relays.reactor.callLater(self.rng.uniform(0.002, 0.02), self.step))
+
+    def answered(self, told: Any, call: Call) -> None:
+        call.returned = self.now()
+        name = call.what[1]
+        if call.what[0] == "get":
+            fact = Fact(*told) if told else None
+            self.known[name] = (fact.value, fact.revision) if fact else (None, 0)
+            call.told = self.known[name][0]
+            return
+        answer = Changed(*told)
+        call.told = answer.done
+        if answer.done:
+            self.known[name] = call.what[2], answer.revision
+
+    def count(self) -> int:
+        return sum(each.returned < 1 << 61 for each in self.history)
--- a/lichencleat/quorum/links.py
+++ b/lichencleat/quorum/links.py
@@ -1,9 +1,9 @@
 """Connections between members, and those of clients: greetings, frames, what waits to be written. Decides
 nothing.
 
-A member's messages to another go over the link that it opened itself; so each direction has a connection of
-its own, as a cut in one direction has. What does not fit the link's bound is dropped: the group's members
-send it again.
+A member's messages to another go over the link that it opened itself, once it knows where that is, and until
+then back over the one that brought it word of the group; so each direction has a connection of its own, as a
+cut in one direction has. What does not fit the link's bound is dropped: the group's members send it again.
 """
 
 from __future__ import annotations
@@ -51,6 +51,8 @@
 
     def link_lost(self, seat: int) -> None: ...
 
+    def hung_up(self, link: Called, seat: int) -> None: ...
+
     def count(self, what: str) -> None: ...
 
 
@@ -95,6 +97,8 @@
         frame = self.read(data)
         if isinstance(frame, Greeted):
             self.out.answered(self, frame)
+        elif isinstance(frame, Carried) and frame.message.sender == self.out.member.seat:
+            self.out.owner.hears(frame.message)  # of one that does not know yet where this member is
         elif frame is not None:
             self.transport.abortConnection()
 
@@ -193,6 +197,8 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         self.door.links.pop(self, None)
+        if self.greeting is not None:
+            self.door.owner.hung_up(self, self.greeting.seat)
 
     def stringReceived(self, data: bytes) -> None:
         frame = self.read(data)
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -119,6 +119,9 @@
         self.begun = self.now()
         self.takes_part = False
         self.outs: dict[int, Out] = {}
+        self.callers: dict[
+            int, Called
+        ] = {}  # the last link of each that called: a newcomer knows no other way
         self.reads: list[tuple[int, Any, Callable[..., None]]] = []
         self.dumped: tuple[int, bytes] | None = None
         self.stirred = False
@@ -192,7 +195,7 @@
         if not self.seats.group and greeting.group:  # the first that calls brings the group with it
             self.seats.group = self.identity.group = greeting.group
             batch.put(IDENTITY, msgspec.msgpack.encode(self.identity))
-            self.log.info("joins", group=greeting.group.hex(), by=greeting.member)
+            self.log.info("joins", mark=greeting.group.hex(), by=greeting.member)
         if batch.changes:
             told = self.store.commit(batch)
             told.addCallbacks(lambda _: self.welcome(link, Welcome.COME), self.disk_failed)
@@ -202,6 +205,8 @@
     def welcome(self, link: Called, welcome: Welcome) -> None:
         who = self.identity
         link.welcome = welcome is Welcome.COME
+        if link.welcome and link.greeting is not None and link.greeting.seat:
+            self.callers[link.greeting.seat] = link
         link.send(Greeted(welcome, self.seats.group, who.seat, who.member, self.seats.life))
 
     def disk_failed(self, failure: Any) -> None:
@@ -220,6 +225,10 @@
         self.voter.link_lost(seat)
         self.stir()
 
+    def hung_up(self, link: Called, seat: int) -> None:
+        if self.callers.get(seat) is link:
+            del self.callers[seat]
+
     def wake(self) -> None:
         self.timer = None
         self.voter.wakes(self.now())
@@ -260,9 +269,9 @@
         elif decision.act is Act.SEND:
             message = decision.message
             assert message is not None
-            out = self.outs.get(message.to)
-            if out is not None:
-                out.send(Carried(self.seats.group, message))
+            way = self.outs.get(message.to) or self.callers.get(message.to)
+            if way is not None:
+                way.send(Carried(self.seats.group, message))
         elif decision.act is Act.APPLY:
             self.apply(decision)
         elif decision.act is Act.RESTORE:
--- /dev/null
+++ b/lichencleat/quorum/program.py
@@ -0,0 +1,152 @@
+"""`lichencleat quorum run`: one member from its file, with its store, signals and exit code."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import time
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.error import CannotListenError
+from twisted.logger import globalLogBeginner
+
+from lichencleat.logs.lines import make_log
+from lichencleat.quorum.file import QuorumChoice, host_port
+from lichencleat.quorum.journal import TOP, Journal
+from lichencleat.quorum.process import IDENTITY, Identity, Process, decode_identity, wake_up
+from lichencleat.quorum.state import founded
+from lichencleat.quorum.terms import Group, Member
+from lichencleat.store.disk import Disk, RealDisk
+from lichencleat.store.engine import Engine
+from lichencleat.store.errors import StoreError
+from lichencleat.store.room import Bounds
+from lichencleat.store.store import open_store
+
+BOUNDS = Bounds(segment_bytes=8 << 20, disk_bytes=256 << 20, entries=200_000)  # logs are cut at snapshots
+STOPPED, WRONG, LEFT = 0, 2, 3  # exit codes
+
+
+class NotFoundedError(Exception):
+    """What, where and what to do, in one line."""
+
+
+def unix_time() -> int:
+    """µs."""
+    return time.time_ns() // 1000
+
+
+def disk_of(chosen: QuorumChoice) -> Disk:
+    assert chosen.directory is not None
+    if chosen.disk == "held back":
+        from lichencleat.lab.rig.heldback import HeldBackDisk  # for tests: not imported otherwise
+
+        return HeldBackDisk(chosen.directory, create=True)
+    return RealDisk(chosen.directory, create=True)
+
+
+def found(chosen: QuorumChoice, rng: random.Random) -> Identity:
+    """Makes a new group with this member as its only voter. Raises NotFoundedError, StoreError."""
+    assert chosen.directory is not None and chosen.name is not None and chosen.listen is not None
+    engine = Engine.open(RealDisk(chosen.directory, create=True), unix_time, rng, BOUNDS, create=True)
+    try:
+        if engine.get(IDENTITY) is not None or engine.get(TOP) is not None:
+            raise NotFoundedError(
+                f"{chosen.directory}: belongs to a member already; name an empty one, or add a voter with "
+                "'lichencleat quorum add'"
+            )
+        identity = wake_up(lambda key: None, rng, chosen.group, chosen.name)
+        identity.group, identity.start = rng.randbytes(8), 0
+        host, port = host_port(chosen.address or chosen.listen)
+        group = Group((Member(identity.seat, chosen.name, host, port, True, chosen.zone),))
+        batch = Journal().found(founded(group)).put(IDENTITY, msgspec.msgpack.encode(identity))
+        (wrong,) = engine.commit([batch])
+        if wrong is not None:
+            raise wrong
+        return identity
+    finally:
+        engine.close()
+
+
+class Running:
+    """Brings a member up on the reactor, and down at a signal."""
+
+    def __init__(self, reactor: Any, chosen: QuorumChoice) -> None:
+        self.reactor, self.chosen = reactor, chosen
+        self.rng = random.Random(os.urandom(16))
+        self.code = STOPPED
+        self.process: Process | None = None
+        self.stopping = False
+        self.log = make_log(
+            unix_time,
+            chosen.log.form,
+            process=chosen.name,
+            role="quorum",
+            group=chosen.group,
+            pid=os.getpid(),
+        )
+
+    @inlineCallbacks
+    def start(self) -> Any:
+        chosen = self.chosen
+        try:
+            store = yield open_store(
+                self.reactor, chosen.directory, unix_time, self.rng, BOUNDS, disk=disk_of(chosen)
+            )
+        except StoreError as wrong:
+            self.stop(WRONG, str(wrong))
+            return
+        try:
+            identity = wake_up(store.engine.get, self.rng, chosen.group, chosen.name)
+            yield store.put(IDENTITY, msgspec.msgpack.encode(identity))
+            listen = host_port(chosen.listen)
+            self.process = Process(
+                self.reactor, store, identity, listen, self.log, self.rng, times=chosen.times.times()
+            )
+        except (StoreError, CannotListenError) as wrong:
+            yield store.close()
+            self.stop(WRONG, str(wrong))
+            return
+        self.log.info("started", seat=identity.seat, start=identity.start, listen=chosen.listen)
+        self.process.ended.addCallback(self.stop)
+        if self.stopping:
+            self.process.leave()
+
+    def told_to_leave(self) -> None:
+        self.stopping = True
+        if self.process is not None:
+            self.process.leave()
+
+    def stop(self, code: int, reason: str = "") -> None:
+        self.code = code
+        if reason:
+            self.log.warning("can't start", reason=reason)
+        else:
+            self.log.info("stopped", code=code)
+        self.reactor.callLater(0, self.reactor.stop)
+
+
+def run(chosen: QuorumChoice) -> int:
+    """The exit code: 0 told to leave, 2 could not start, 3 left by itself, rather than lie."""
+    from twisted.internet import reactor
+
+    globalLogBeginner.beginLoggingTo([], redirectStandardIO=False, discardBuffer=True)
+    member = Running(reactor, chosen)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(member.told_to_leave))
+    reactor.callWhenRunning(member.start)
+    reactor.run(installSignalHandlers=False)
+    return member.code
+
+
+def peek(chosen: QuorumChoice) -> Identity | None:
+    """Who a directory that nobody uses says it is. Raises StoreError."""
+    assert chosen.directory is not None
+    engine = Engine.open(RealDisk(chosen.directory), unix_time, random.Random(), BOUNDS)
+    try:
+        data = engine.get(IDENTITY)
+        return decode_identity(data) if data is not None else None
+    finally:
+        engine.close()
