--- a/lichencleat/quorum/file.py
+++ b/lichencleat/quorum/file.py
@@ -59,10 +59,6 @@
 
 
 def sense(path: str, place: Place, quorum: QuorumChoice, member: bool) -> None:
-    for key in ("name", "listen", "directory"):
-        if member and getattr(quorum, key) is None:
-            line = place.line("$.quorum")
-            raise WrongFileError(f"{path}, line {line}: quorum.{key}: is missing; a member needs it")
     times = quorum.times
     if times.election_ms < 3 * times.beat_ms:
         line = place.line("$.quorum.times.election_ms") or place.line("$.quorum.times.beat_ms")
@@ -70,6 +66,10 @@
             f"{path}, line {line}: quorum.times.election_ms: {times.election_ms} is under three beats "
             f"({times.beat_ms} each); one late message would end a leadership, so make it larger"
         )
+    for key in ("name", "listen", "directory"):
+        if member and getattr(quorum, key) is None:
+            line = place.line("$.quorum")
+            raise WrongFileError(f"{path}, line {line}: quorum.{key}: is missing; a member needs it")
 
 
 def host_port(address: str) -> tuple[str, int]:
--- a/tests/fleet/test_quorum.py
+++ b/tests/fleet/test_quorum.py
@@ -127,3 +127,24 @@
     heir.signal(signal.SIGTERM)
     assert heir.ended() == 0
     rig.until(lambda: rig.leader(), "another leader")
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("quorum: {group: g, members: ['1.2.3.4:5'], listn: x}", "unknown key 'listn'"),
+        ("quorum: {group: g, members: []}", "members"),
+        ("quorum: {group: g, members: ['1.2.3.4:5']}", "quorum.name: is missing"),
+        ("quorum:\n  group: g\n  members: ['1.2.3.4:5']\n  times: {beat_ms: 200}", "three beats"),
+    ],
+)
+def test_a_wrong_file_is_one_line_and_exit_code_2(tmp_path, text, said):
+    from click.testing import CliRunner
+
+    from lichencleat.cli.quorum import group
+
+    file = tmp_path / "f.yaml"
+    file.write_text(text)
+    told = CliRunner().invoke(group, ["run", str(file)])
+    assert told.exit_code == 2 and said in told.output and "Traceback" not in told.output
+    assert list(tmp_path.iterdir()) == [file]
