Quorum: a member whose removal is not committed may stand, as it may be needed

Cause: of two voters the leader removes itself; the other goes down before it has that entry. Back up, it asks the first for its vote, whose log is longer, so it refuses; and the first never stands, as Voter.ask took the newest group in its log for the last word. Ruled out: clocks and links (healed, none cut), the disk (both logs whole). Ongaro's thesis, 4.2.2, has the rule: such a member stands, and does not count itself.

--- a/lichencleat/lab/explore_quorum.py
+++ b/lichencleat/lab/explore_quorum.py
@@ -130,7 +130,7 @@
         stands = self.limits.stands
         return (
             voter.term < self.limits.terms
-            and seat in voter.voters
+            and voter.may_stand()
             and (not stands or (self.stood < len(stands) and stands[self.stood] == seat))
         )
 
--- /dev/null
+++ b/lichencleat/lab/rig/receiver.py
@@ -0,0 +1,41 @@
+"""Whoever acts on the work of owners: looks at each act's token, and tells the judge what it accepted and
+when.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from twisted.internet.protocol import Factory
+from twisted.protocols.basic import LineOnlyReceiver
+
+from lichencleat.lab.checkers.owners import OwnersWatch
+from lichencleat.lab.rig.relay import LOCAL
+from lichencleat.owners.fence import Fence
+
+
+class Act(LineOnlyReceiver):
+    delimiter = b"\r\n"
+
+    def lineReceived(self, line: bytes) -> None:
+        job, token, who = line.decode().split(" ")
+        self.factory.acts(job, int(token), who)
+
+
+class Receiver(Factory):
+    """Lives on the relays' reactor."""
+
+    protocol = Act
+    noisy = False
+
+    def __init__(self, reactor: Any) -> None:
+        self.fence, self.watch = Fence(), OwnersWatch()
+        self.last: dict[str, str] = {}  # job -> who acted last
+        self.port = reactor.listenTCP(0, self, interface=LOCAL)
+
+    def acts(self, job: str, token: int, who: str) -> None:
+        accepted = self.fence.accepts(job, token)
+        self.watch.acts(job, token, who, accepted, time.monotonic_ns() // 1000)
+        if accepted:
+            self.last[job] = who
--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -199,6 +199,15 @@
             for line in each.log.read_text().splitlines()[-15:]
         )
 
+    def worker(self, name: str, zone: str, receiver: int) -> subprocess.Popen:
+        """A process that wants jobs; its log is NAME.log."""
+        file = next(iter(self.voters.values())).file
+        words = [sys.executable, "-m", "lichencleat.lab.rig.worker", str(file), name, zone, str(receiver)]
+        with open(self.path / f"{name}.log", "ab") as log:
+            child = subprocess.Popen(words, cwd=Path(__file__).resolve().parents[3], stderr=log)
+        self.children.append(child)
+        return child
+
     # -- faults --------------------------------------------------------------------------------------
 
     def apart(self, here: list[Voter], clients: bool = True) -> set[tuple[str, str]]:
--- /dev/null
+++ b/lichencleat/lab/rig/worker.py
@@ -0,0 +1,87 @@
+"""A process that wants jobs and does nothing but act: each act is a line to a receiver that looks at the
+token.
+
+python -m lichencleat.lab.rig.worker FILE NAME ZONE RECEIVER_PORT
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import sys
+from typing import Any
+
+from twisted.internet.protocol import ReconnectingClientFactory
+from twisted.protocols.basic import LineOnlyReceiver
+
+from lichencleat.logs.lines import make_log
+from lichencleat.owners.holder import Holder
+from lichencleat.quorum.client import Client
+from lichencleat.quorum.file import host_port, read_quorum
+from lichencleat.quorum.program import unix_time
+
+ACT = 0.01  # s between two acts on a job
+
+
+class Acts(ReconnectingClientFactory):
+    """The link to the receiver."""
+
+    noisy = False
+    link: Any = None
+
+    def buildProtocol(self, address: Any) -> LineOnlyReceiver:
+        self.resetDelay()
+        made = LineOnlyReceiver()
+        made.lineReceived = lambda line: None  # type: ignore[method-assign]
+        self.link = made
+        return made
+
+
+class Worker:
+    def __init__(self, reactor: Any, name: str, acts: Acts) -> None:
+        self.reactor, self.name, self.acts = reactor, name, acts
+        self.running: dict[str, Any] = {}
+        self.holder: Holder | None = None
+
+    def begins(self, job: str, token: int) -> None:
+        self.running[job] = self.reactor.callLater(0, self.act, job)
+
+    def ends(self, job: str, reason: str) -> None:
+        timer = self.running.pop(job, None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def act(self, job: str) -> None:
+        assert self.holder is not None
+        token = self.holder.token(job)
+        if token is not None and self.acts.link is not None and self.acts.link.transport is not None:
+            self.acts.link.sendLine(f"{job} {token} {self.name}-{os.getpid()}".encode())
+        self.running[job] = self.reactor.callLater(ACT, self.act, job)
+
+
+def main() -> None:
+    from twisted.internet import reactor
+
+    path, name, zone, port = sys.argv[1:]
+    chosen = read_quorum(path)
+    rng = random.Random(os.urandom(16))
+    log = make_log(unix_time, process=name, role="candidate", group=chosen.group)
+    client = Client(reactor, chosen.group, [host_port(each) for each in chosen.members], rng)
+    acts = Acts()
+    acts.maxDelay = 0.2
+    worker = Worker(reactor, name, acts)
+    worker.holder = Holder(reactor, client, name, zone, worker, rng, log)
+    reactor.connectTCP("127.0.0.1", int(port), acts)
+    reactor.callWhenRunning(worker.holder.start)
+
+    def leave() -> None:
+        assert worker.holder is not None
+        worker.holder.leave().addBoth(lambda _: reactor.stop())
+
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(leave))
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main()
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -20,7 +20,7 @@
 from lichencleat.quorum.member import Role
 from lichencleat.quorum.seats import Life, Seats, Welcome
 from lichencleat.quorum.sessions import Verdict
-from lichencleat.quorum.state import Part, State
+from lichencleat.quorum.state import Part, State, command
 from lichencleat.quorum.terms import Act, Decision, Member, Message, Reason, Times
 from lichencleat.quorum.voter import Voter
 from lichencleat.quorum.wire import FORMAT, Carried, Greeted, Greeting, Reply, Request, raw
@@ -28,6 +28,7 @@
 from lichencleat.store.store import Store
 
 SNAPSHOT_EACH = 2_000  # entries applied from one dump of the state to the next: some MB of log
+TEND = 0.05  # s between looks at what a leader has to propose of its own
 LOOK = 0.02  # s between looks whether a start has been vouched for
 IDENTITY, LIFE = b"i", b"l"  # keys in the store; a life's goes on with the seat's eight bytes
 SECOND = 1_000_000
@@ -101,11 +102,17 @@
         log: Log,
         rng: random.Random,
         parts: Callable[[], dict[str, Part]] = lambda: {"facts": Facts()},
+        tend: Callable[[State | None, int], list[tuple[str, Any]]] = lambda state, now: [],
         times: Times | None = None,
     ) -> None:
-        """`identity` is confirmed on the disk. Raises CannotListenError, DamagedError."""
+        """`identity` is confirmed on the disk. `tend`: what a leader proposes of its own, as part and
+        command, from the state and µs of its clock; asked a few times a second, and with None as state once
+        it leads no more.
+
+        Raises CannotListenError, DamagedError.
+        """
         self.reactor, self.store, self.identity, self.log, self.rng = reactor, store, identity, log, rng
-        self.parts = parts
+        self.parts, self.tend = parts, tend
         self.state = State(parts())
         self.journal = Journal()
         get = store.engine.get
@@ -131,6 +138,7 @@
         self.ending = False
         self.counts: dict[str, int] = {}
         self.role = Role.FOLLOWER
+        self.tending: Any = None
         self.door = Door(reactor, self, *listen)
         self.relink()
         self.look()
@@ -327,6 +335,20 @@
                     "leads" if self.voter.role is Role.LEADER else "leads no more", term=self.voter.term
                 )
             self.role = self.voter.role
+            if self.tending is None:
+                self.look_after()
+
+    def look_after(self) -> None:
+        """While it leads, whatever the state needs from time to time."""
+        self.tending = None
+        if self.ending:
+            return
+        leads = self.role is Role.LEADER and self.state.applied == self.voter.commit
+        for part, what in self.tend(self.state if leads else None, self.now()):
+            self.voter.propose(self.now(), None, command(part, what))
+            self.stir()
+        if self.role is Role.LEADER:
+            self.tending = self.reactor.callLater(TEND, self.look_after)
 
     # -- clients -------------------------------------------------------------------------------------
 
@@ -439,7 +461,7 @@
         if self.ending:
             return
         self.ending = True
-        for timer in (self.timer, self.looking):
+        for timer in (self.timer, self.looking, self.tending):
             if timer is not None and timer.active():
                 timer.cancel()
         for each in self.outs.values():
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -14,10 +14,13 @@
 from twisted.logger import globalLogBeginner
 
 from lichencleat.logs.lines import make_log
+from lichencleat.owners.expiry import Expiry
+from lichencleat.owners.jobs import Jobs
+from lichencleat.quorum.facts import Facts
 from lichencleat.quorum.file import QuorumChoice, host_port
 from lichencleat.quorum.journal import TOP, Journal
 from lichencleat.quorum.process import IDENTITY, Identity, Process, decode_identity, wake_up
-from lichencleat.quorum.state import founded
+from lichencleat.quorum.state import State, founded
 from lichencleat.quorum.terms import Group, Member
 from lichencleat.store.disk import Disk, RealDisk
 from lichencleat.store.engine import Engine
@@ -70,6 +73,21 @@
         engine.close()
 
 
+class ExpiryTender:
+    """What the leader says of candidates that are gone."""
+
+    def __init__(self) -> None:
+        self.expiry = Expiry()
+
+    def tend(self, state: State | None, now: int) -> list[tuple[str, Any]]:
+        if state is None:
+            self.expiry.leads_no_more()
+            return []
+        jobs = state.parts["owners"]
+        assert isinstance(jobs, Jobs)
+        return [("owners", each) for each in self.expiry.due(now, jobs.candidates)]
+
+
 class Running:
     """Brings a member up on the reactor, and down at a signal."""
 
@@ -103,7 +121,15 @@
             yield store.put(IDENTITY, msgspec.msgpack.encode(identity))
             listen = host_port(chosen.listen)
             self.process = Process(
-                self.reactor, store, identity, listen, self.log, self.rng, times=chosen.times.times()
+                self.reactor,
+                store,
+                identity,
+                listen,
+                self.log,
+                self.rng,
+                lambda: {"facts": Facts(), "owners": Jobs()},
+                ExpiryTender().tend,
+                chosen.times.times(),
             )
         except (StoreError, CannotListenError) as wrong:
             yield store.close()
--- a/lichencleat/quorum/voter.py
+++ b/lichencleat/quorum/voter.py
@@ -219,10 +219,20 @@
 
     # -- elections -----------------------------------------------------------------------------------
 
+    def may_stand(self) -> bool:
+        """One whose removal stands in its log and is not known to be committed may be needed to commit it:
+        nobody who lacks that entry is elected by those who have it (thesis 4.2.2). It does not count its own
+        vote.
+        """
+        if self.seat in self.voters:
+            return True
+        groups_ = self.entries.groups
+        return len(groups_) > 1 and groups_[-1][0] > self.commit and self.seat in groups_[-2][1].voters()
+
     def ask(self, now: int) -> None:
         """Sounds out whether it would be elected, and disturbs nobody by it (thesis 9.6)."""
         self.rest(now)
-        if self.seat not in self.voters or self.role is Role.OUT:
+        if not self.may_stand() or self.role is Role.OUT:
             return
         self.role, self.leader = Role.ASKING, NOBODY
         self.votes = frozenset([self.seat])
--- a/tests/quorum/test_voter.py
+++ b/tests/quorum/test_voter.py
@@ -258,6 +258,28 @@
     assert [each.ticket for each in pull(one, [Act.APPLY])] == ["alone"]
 
 
+def test_one_whose_removal_is_not_committed_may_stand_and_does_not_count_itself():
+    pair = Group(tuple(MEMBERS[:2]))
+    one = leader(pair)
+    pull(one)
+    ack(one, 2, 1)
+    pull(one)
+    one.change(0, "gone", without(pair, 1))  # 2 goes down before it has this, and comes back asking for votes
+    pull(one)
+    one.wakes(TIMES.election + 1)
+    one.hears(TIMES.election * 9, Message(Kind.WOULD_YOU, 2, 2, 1, index=1, past=1))
+    assert not any(each.granted for each in sent(one))
+    one.wakes(TIMES.election * 9)
+    asked = sent(one)
+    assert [(each.kind, each.to) for each in asked] == [(Kind.WOULD_YOU, 2)]
+    one.hears(TIMES.election * 9, Message(Kind.WOULD, 2, 2, 1, granted=True))
+    one.hears(TIMES.election * 9, Message(Kind.VOTED, 2, 2, 1, granted=True))
+    assert one.role is Role.LEADER
+    pull(one)
+    ack(one, 2, 3, now=TIMES.election * 9)
+    assert one.role is Role.FOLLOWER and not one.may_stand()
+
+
 def test_a_disk_that_failed_ends_all_that_is_said():
     one = leader()
     one.propose(0, "t", b"x")
