Owners: leases from the log, fencing tokens, a holder, commands; processes and simulation

Need: one process and only one does what the whole fleet needs once, and an old owner that wakes up late does no harm. Change: lichencleat/owners/ (jobs as a part of the group's state, choice, expiry, leases, fence, without I/O; holder on the reactor), 'lichencleat owners list|define|drop|move|explain', a simulation with drifting clocks, a rig with candidates and a receiver.

--- /dev/null
+++ b/tests/owners/test_sim.py
@@ -0,0 +1,51 @@
+"""Owners through drawn faults, a few seeds: the full length is `python -m lichencleat.lab.sim.owners`."""
+
+import pytest
+
+from lichencleat.lab.checkers.owners import OwnersWatch
+from lichencleat.lab.sim.owners import VARIANTS, run
+
+CAUGHT = {
+    "FromTheAnswer": 165,
+    "NoDrift": 28,
+    "BeginsAgain": 1,
+    "Impatient": 4,
+    "OldCount": 11,
+    "SameToken": 1,
+    "NoFence": 1,
+}
+
+
+def test_drawn_runs_have_one_owner_and_get_well_again():
+    for seed in range(1, 41):
+        ran = run(seed)
+        assert ran.wrong is None, (seed, ran.wrong)
+        assert ran.acts > 500
+
+
+def test_clocks_beyond_any_drift_leave_the_tokens_right():
+    assert [run(seed, wild=True).wrong for seed in range(1, 21)] == [None] * 20
+
+
+def test_a_seed_gives_the_same_run():
+    assert run(3) == run(3)
+
+
+@pytest.mark.parametrize("variant", CAUGHT)
+def test_a_planted_mistake_is_caught(variant):
+    assert run(CAUGHT[variant], VARIANTS[variant]).wrong is not None
+
+
+def test_the_watch_finds_each_planted_violation():
+    def watched(*said):
+        watch = OwnersWatch()
+        for name, *what in said:
+            getattr(watch, name)(*what)
+        return watch.wrong
+
+    assert watched(("acts", "j", 5, "a", True, 1), ("acts", "j", 4, "b", False, 2)) is None
+    assert "after one under 5" in watched(("acts", "j", 5, "a", True, 1), ("acts", "j", 4, "b", True, 2))
+    assert "was a's" in watched(("acts", "j", 5, "a", True, 1), ("acts", "j", 5, "b", True, 2))
+    assert "was a's" in watched(("begins", "j", 5, "a"), ("begins", "j", 5, "b"))
+    assert "at once" in watched(("believe", "j", ["a", "b"])) and watched(("believe", "j", ["a"])) is None
+    assert "no accepted act" in watched(("well_again", ["j"], 9_000_000, 4_000_000))
