--- /dev/null
+++ b/lichencleat/cli/members.py
@@ -0,0 +1,25 @@
+"""`lichencleat members`: who is there, by gossip."""
+
+from __future__ import annotations
+
+import click
+
+from lichencleat.chosen.file import WrongFileError
+from lichencleat.cli import output
+from lichencleat.members import program
+
+
+@click.group("members", no_args_is_help=True)
+def group() -> None:
+    """Who is there, among many instances."""
+
+
+@group.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def run(file: str) -> None:
+    """Take part as FILE says until SIGTERM; each change is a line of the log."""
+    try:
+        chosen = program.read_members(file)
+    except WrongFileError as wrong:
+        raise output.WrongInput(str(wrong)) from wrong
+    raise click.exceptions.Exit(program.run(chosen))
