Quorum: longer spans after failed elections; a learner votes only once it was heard

Need: with six rigs side by side 13 of 60 groups of two voters did not form within 4 s. Cause: a real flush of this machine's disk takes up to seconds when many processes flush (a bare 'quorum found' ran over 4 s), as long as the whole spread of elections; so two that stand at once stood at once again, terms rising to 6 with no leader. Ruled out: links (all up, nothing held), lost messages (2 to 6 dropped). And a learner was made a voter before it had ever answered. Change: Member.rest doubles the spread, at most thrice, with each election that came to nothing; Voter.untimely wants a learner to have answered; the rig's held-back disk leaves the machine's flush out, as a kill is its cut.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -94,7 +94,7 @@
 def main(kills: int, seconds: float) -> None:
     rows = []
     with tempfile.TemporaryDirectory() as folder:
-        rig = Rig(Path(folder))
+        rig = Rig(Path(folder), disk="real")
         try:
             rig.form()
             for clients in (1, 16, 256):
--- a/lichencleat/quorum/member.py
+++ b/lichencleat/quorum/member.py
@@ -25,6 +25,10 @@
 from lichencleat.quorum.writes import Writes
 
 LONG_AGO = -(1 << 62)  # µs: before any clock
+# doublings of what is drawn on top of an election's time, one a failed election: where a flush takes as long
+# as the
+# usual spread, two that stand at once would stand at once again and again
+SPREAD_DOUBLINGS = 3
 NO_GROUP = Snapshot(0, 0, Group(()), b"")  # of a member that has heard of no group yet
 
 
@@ -52,6 +56,7 @@
         self.commit = self.handed = self.entries.base  # committed; given to the host to apply
         self.heard_at = LONG_AGO  # µs: the leader's last word
         self.election_at = 0
+        self.failed = 0  # elections asked for since a leader was heard: none of them came to anything
         self.beat_at = 0
         self.beats = 0
         self.verified = 0  # the log agrees with this leader's up to here
@@ -71,7 +76,8 @@
 
     def rest(self, now: int) -> None:
         """No election for a while; how long is drawn, so that two seldom stand at once."""
-        self.election_at = now + self.times.election + self.rng.randrange(self.times.spread)
+        spread = self.times.spread << min(self.failed, SPREAD_DOUBLINGS)
+        self.election_at = now + self.times.election + self.rng.randrange(spread)
 
     def drop_lead(self) -> None:
         lead, self.lead = self.lead, None
@@ -125,6 +131,7 @@
     # -- following -----------------------------------------------------------------------------------
 
     def hears_from(self, now: int, leader: int) -> None:
+        self.failed = 0
         if self.role is not Role.FOLLOWER or self.leader != leader:
             self.follow(now, self.term, leader)
         self.heard_at = now
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -53,7 +53,7 @@
 def found(chosen: QuorumChoice, rng: random.Random) -> Identity:
     """Makes a new group with this member as its only voter. Raises NotFoundedError, StoreError."""
     assert chosen.directory is not None and chosen.name is not None and chosen.listen is not None
-    engine = Engine.open(RealDisk(chosen.directory, create=True), unix_time, rng, BOUNDS, create=True)
+    engine = Engine.open(disk_of(chosen), unix_time, rng, BOUNDS, create=True)
     try:
         if engine.get(IDENTITY) is not None or engine.get(TOP) is not None:
             raise NotFoundedError(
--- a/lichencleat/quorum/voter.py
+++ b/lichencleat/quorum/voter.py
@@ -153,7 +153,9 @@
         if self.entries.groups[-1][0] > self.commit:
             return Reason.CHANGING
         for seat in group.voters() - self.voters:
-            if seat in self.entries.group.seats() and self.lead.matched(seat) < self.commit - CAUGHT_UP:
+            if seat in self.entries.group.seats() and self.lead.matched(seat) < max(
+                1, self.commit - CAUGHT_UP
+            ):
                 return Reason.BEHIND
         return groups.objection(self.entries.group, group)
 
@@ -231,6 +233,7 @@
 
     def ask(self, now: int) -> None:
         """Sounds out whether it would be elected, and disturbs nobody by it (thesis 9.6)."""
+        self.failed += 1
         self.rest(now)
         if not self.may_stand() or self.role is Role.OUT:
             return
@@ -294,6 +297,7 @@
 
     def win(self, now: int) -> None:
         self.role, self.leader = Role.LEADER, self.seat
+        self.failed = 0
         self.lead = Leading(self.seat, self.entries.last + 1, now)
         self.lead.regroup(self.entries.group.seats(), self.entries.last + 1, now)
         self.take(now, Entry(self.term, What.NOTHING), None)
--- a/tests/quorum/test_voter.py
+++ b/tests/quorum/test_voter.py
@@ -194,11 +194,27 @@
     assert 4 in one.lead.progress and one.voters == {1, 2, 3}
     ack(one, 2, 2)
     pull(one)
+    one.change(0, "never heard", changed(one.entries.group, MEMBERS[3]))
+    assert pull(one, [Act.REFUSE])[0].reason is Reason.BEHIND
+    ack(one, 4, 1)
     one.change(0, "votes", changed(one.entries.group, MEMBERS[3]))
     pull(one)
     assert one.voters == {1, 2, 3, 4}
 
 
+def test_who_fails_to_be_elected_draws_from_a_longer_span_each_time():
+    one = voter()
+    spans = []
+    for _ in range(6):
+        now = one.deadline()
+        one.wakes(now)
+        spans.append(TIMES.election + (TIMES.spread << min(one.failed, 3)))
+        assert one.deadline() - now <= spans[-1]
+    assert spans[:4] == [TIMES.election + TIMES.spread * n for n in (2, 4, 8, 8)]
+    one.hears(now, Message(Kind.APPEND, 9, 2, 1))
+    assert one.failed == 0
+
+
 def test_a_learner_that_lacks_much_is_not_made_a_voter_yet():
     one = leader()
     for _ in range(400):
