Quorum: an older connection's end counts for nothing; a process that fails ends and says so

Seen: voters led by one member throughout, clients answered; so it is on the candidates' side, and their logs were not kept. Found by reading what they rest on: Client.lost took the end of a connection dropped before for that of the new one being opened, and moved on again; and a leader's own proposal refused (no ticket) raised in Process.carry_out, which left the voter without its timer until the next message. Which of the two it was is not shown. Now the rig's failure tells every process's lines. Change: a connection belongs to its opening; such a refusal is for nobody; an error in a pull is a line, and the process leaves.

--- a/lichencleat/cli/quorum.py
+++ b/lichencleat/cli/quorum.py
@@ -179,7 +179,7 @@
     quorum = chosen(file)
     new = talk(lambda reactor, client: client.call("status", None, PATIENCE), quorum, address)
     host, port = host_port(address)
-    who = [new["seat"], new["member"], host, port, new.get("zone", "")]
+    who = [new["seat"], new["member"], host, port, new["zone"]]
 
     @inlineCallbacks
     def ask(reactor: Any, client: Client) -> Any:
--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -197,11 +197,11 @@
         return wait_until(holds, what, self.logs)
 
     def logs(self) -> str:
+        """The last lines of every process."""
         return "\n".join(
-            f"{each.name}: {line}"
-            for each in self.voters.values()
-            if each.log.exists()
-            for line in each.log.read_text().splitlines()[-15:]
+            f"{log.stem}: {line[:200]}"
+            for log in sorted(self.path.glob("*.log"))
+            for line in log.read_text().splitlines()[-12:]
         )
 
     def worker(self, name: str, zone: str, receiver: int) -> subprocess.Popen:
--- a/lichencleat/quorum/client.py
+++ b/lichencleat/quorum/client.py
@@ -45,8 +45,8 @@
 
 
 class Link(Framed):
-    def __init__(self, client: Client) -> None:
-        self.client = client
+    def __init__(self, client: Client, opening: Opening) -> None:
+        self.client, self.opening = client, opening
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -63,7 +63,7 @@
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Any = None) -> None:
-        self.client.lost(self)
+        self.client.lost(self.opening)
 
 
 class Opening(ClientFactory):
@@ -73,10 +73,10 @@
         self.client = client
 
     def buildProtocol(self, address: Any) -> Link:
-        return Link(self.client)
+        return Link(self.client, self)
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self.client.lost(None)
+        self.client.lost(self)
 
 
 class Client:
@@ -90,6 +90,9 @@
         self.link: Link | None = None
         self.welcome = False
         self.connector: Any = None
+        self.opening: Opening | None = (
+            None  # what the connection belongs to: an older one's end counts for nothing
+        )
         self.calls: deque[Call] = deque()
         self.session = self.number = self.requests = 0
         self.rest = REST[0]
@@ -133,7 +136,8 @@
             if self.connector is None:
                 self.welcome = False
                 host, port = self.at
-                self.connector = self.reactor.connectTCP(host, port, Opening(self), timeout=TRY)
+                self.opening = Opening(self)
+                self.connector = self.reactor.connectTCP(host, port, self.opening, timeout=TRY)
         elif self.welcome:
             self.ask(call)
 
@@ -179,6 +183,7 @@
     def drop_link(self) -> None:
         link, self.link = self.link, None
         connector, self.connector = self.connector, None
+        self.opening = None
         if link is not None:
             link.transport.abortConnection()
         elif connector is not None:
@@ -200,11 +205,10 @@
     # -- what happened ---------------------------------------------------------------------------------
 
     def greeted(self, link: Link, answer: Greeted) -> None:
-        if link is not self.link and self.connector is not None and self.link is None:
-            self.link = link
-        if link is not self.link:
+        if link.opening is not self.opening:
             link.transport.abortConnection()
             return
+        self.link = link
         self.welcome = answer.welcome == Welcome.COME
         if not self.welcome:
             self.last = "{}:{} is of another group".format(*self.at)
@@ -212,13 +216,11 @@
         elif self.calls:
             self.ask(self.calls[0])
 
-    def lost(self, link: Link | None) -> None:
-        if link is not None and link is not self.link and self.link is not None:
+    def lost(self, opening: Opening) -> None:
+        if opening is not self.opening:
             return  # one that was dropped before
-        if self.connector is None:
-            return
         self.last = "no connection to {}:{}".format(*self.at)
-        self.link = self.connector = None
+        self.link = self.connector = self.opening = None
         if self.calls and not self.closed:
             self.move()
 
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+import traceback
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -104,6 +105,7 @@
         parts: Callable[[], dict[str, Part]] = lambda: {"facts": Facts()},
         tend: Callable[[State | None, int], list[tuple[str, Any]]] = lambda state, now: [],
         times: Times | None = None,
+        zone: str = "",
     ) -> None:
         """`identity` is confirmed on the disk. `tend`: what a leader proposes of its own, as part and
         command, from the state and µs of its clock; asked a few times a second, and with None as state once
@@ -112,7 +114,7 @@
         Raises CannotListenError, DamagedError.
         """
         self.reactor, self.store, self.identity, self.log, self.rng = reactor, store, identity, log, rng
-        self.parts, self.tend = parts, tend
+        self.parts, self.tend, self.zone = parts, tend, zone
         self.state = State(parts())
         self.journal = Journal()
         get = store.engine.get
@@ -253,8 +255,14 @@
         self.stirred = False
         if self.ending or not self.takes_part:
             return
-        while not self.ending and (decision := self.voter.next_decision()) is not None:
-            self.carry_out(decision)
+        try:
+            while not self.ending and (decision := self.voter.next_decision()) is not None:
+                self.carry_out(decision)
+        except (
+            Exception
+        ):  # a state that is applied in half must not be told to anyone: it is read anew at a start
+            self.log.warning("error", trace=traceback.format_exc(limit=-3).replace("\n", " | "))
+            self.end(3)
         if self.ending:
             return
         self.answer_reads()
@@ -291,7 +299,8 @@
             query, answer = decision.ticket
             self.reads.append((decision.index, query, answer))
         elif decision.act is Act.REFUSE:
-            decision.ticket[1](False, decision.reason)
+            if decision.ticket is not None:  # else a proposal of its own, as a leader that is one no more
+                decision.ticket[1](False, decision.reason)
         elif decision.act is Act.LEAVE:
             self.log.warning("leaves", reason=decision.reason)
             self.end(3)
@@ -422,6 +431,7 @@
             "seat": self.identity.seat,
             "group": self.seats.group.hex(),
             "start": self.identity.start,
+            "zone": self.zone,
             "role": voter.role.name.lower() if self.takes_part else "waits",
             "term": voter.term,
             "leader": voter.leader,
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -130,6 +130,7 @@
                 lambda: {"facts": Facts(), "owners": Jobs()},
                 ExpiryTender().tend,
                 chosen.times.times(),
+                chosen.zone,
             )
         except (StoreError, CannotListenError) as wrong:
             yield store.close()
@@ -158,8 +159,15 @@
     """The exit code: 0 told to leave, 2 could not start, 3 left by itself, rather than lie."""
     from twisted.internet import reactor
 
-    globalLogBeginner.beginLoggingTo([], redirectStandardIO=False, discardBuffer=True)
     member = Running(reactor, chosen)
+
+    def tell(event: dict[str, Any]) -> None:
+        """Errors that reach Twisted are lines like all others."""
+        failure = event.get("log_failure")
+        if failure is not None:
+            member.log.warning("error", trace=failure.getBriefTraceback().replace("\n", " | "))
+
+    globalLogBeginner.beginLoggingTo([tell], redirectStandardIO=False, discardBuffer=True)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(member.told_to_leave))
     reactor.callWhenRunning(member.start)
