Owners: a killed owner is called gone also while the group is busy

Cause: Process.look_after took a leader with entries still to be applied for none (applied == commit), and Expiry.leads_no_more cleared its counts; with clients writing, some look in each lease met that. Ruled out: the candidates' clients (renewals succeed), the log. The index named by Gone makes an older state harmless. Test fails without the change.

--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -355,7 +355,9 @@
         self.tending = None
         if self.ending:
             return
-        leads = self.role is Role.LEADER and self.state.applied == self.voter.commit
+        # also where entries wait to be applied: else under load the tender would begin anew at almost every
+        # look
+        leads = self.role is Role.LEADER
         for part, what in self.tend(self.state if leads else None, self.now()):
             self.voter.propose(self.now(), None, command(part, what))
             self.stir()
--- a/tests/quorum/test_quorum_process.py
+++ b/tests/quorum/test_quorum_process.py
@@ -1,10 +1,12 @@
 """What a client and a process do with what should not come, by hand."""
 
 import random
+from types import SimpleNamespace
 
 from twisted.internet.testing import MemoryReactorClock
 
 from lichencleat.quorum.client import Client, GroupError
+from lichencleat.quorum.member import Role
 from lichencleat.quorum.process import Process
 from lichencleat.quorum.terms import Act, Decision, Reason
 
@@ -36,5 +38,18 @@
     assert "closed" in str(told[1])
 
 
+def test_a_leader_tends_its_state_also_while_entries_wait_to_be_applied():
+    process, seen = Process.__new__(Process), []
+    process.reactor, process.ending, process.role = MemoryReactorClock(), False, Role.LEADER
+    process.state, process.tend = SimpleNamespace(applied=1), lambda state, now: seen.append(state) or []
+    process.voter = SimpleNamespace(commit=2)
+    process.look_after()
+    process.reactor.advance(1)
+    assert seen[:2] == [process.state, process.state]
+    process.role = Role.FOLLOWER
+    process.look_after()
+    assert seen[-1] is None and process.tending is None
+
+
 def test_a_leader_s_own_proposal_that_is_refused_has_nobody_to_be_told():
     assert Process.carry_out(None, Decision(Act.REFUSE, ticket=None, reason=Reason.NOT_LEADER)) is None
