--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -25,11 +25,18 @@
 PATIENCE = 10.0  # s: only a failing test waits so long
 FAST = {"beat_ms": 30, "election_ms": 180, "spread_ms": 180, "transfer_ms": 400}
 GROUP = "rig"
+PORTS = random.SystemRandom()  # rigs side by side draw apart; no test hangs on which port it is
 
 
 def free_port() -> int:
-    with socket.create_server((LOCAL, 0)) as taken:
-        return taken.getsockname()[1]
+    """Below what the kernel gives out by itself: no relay or connection made meanwhile takes it."""
+    while True:
+        port = PORTS.randrange(20_000, 32_000)
+        try:
+            with socket.create_server((LOCAL, port)):
+                return port
+        except OSError:  # somebody's
+            continue
 
 
 def wait_until(holds: Callable[[], Any], what: str, more: Callable[[], str] = lambda: "") -> Any:
