Quorum: links are looked at only when the group changes; dead code goes

Change: relink returns where the group is the one that it linked last; those five are gone. Behaviour as before.

--- a/lichencleat/lab/sim/clockwork.py
+++ b/lichencleat/lab/sim/clockwork.py
@@ -51,9 +51,6 @@
     def runs(self, rate: float) -> None:
         self.base, self.since, self.rate = self(), self.clockwork.now, rate
 
-    def jumps(self, span: int) -> None:
-        self.base += span
-
     def until(self, moment: int) -> int:
         """Simulated µs until this clock shows that moment."""
         return max(0, round((moment - self()) / self.rate) + 1)
--- a/lichencleat/owners/expiry.py
+++ b/lichencleat/owners/expiry.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 from lichencleat.owners.terms import DRIFT, LEASE, Candidate, Gone
 
 
@@ -37,7 +35,3 @@
             elif now - at >= self.span:
                 gone.append(Gone(name, each.renewed))
         return gone
-
-    def next(self, names: Iterable[str]) -> int | None:
-        """µs: when the first of them is due, None where none was seen."""
-        return min((self.seen[each][1] + self.span for each in names if each in self.seen), default=None)
--- a/lichencleat/quorum/leading.py
+++ b/lichencleat/quorum/leading.py
@@ -18,7 +18,7 @@
 
 
 class Leading:
-    def __init__(self, seat: int, first: int, now: int) -> None:
+    def __init__(self, seat: int, first: int) -> None:
         self.seat = seat
         self.first = first  # index of this term's first entry: before it is committed nothing is known to be
         self.progress: dict[int, Progress] = {}
@@ -28,7 +28,6 @@
         self.round = 0  # the last one begun
         self.proved = 0  # the last one that a majority answered
         self.moving: tuple[int, int] | None = None  # seat that is to lead, µs when that is given up
-        self.began = now
 
     def regroup(self, seats: Iterable[int], next_index: int, now: int) -> None:
         """The members are others now: who is new is fed, who is gone is not."""
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -22,7 +22,7 @@
 from lichencleat.quorum.seats import Life, Seats, Welcome
 from lichencleat.quorum.sessions import Verdict
 from lichencleat.quorum.state import Part, State, command
-from lichencleat.quorum.terms import Act, Decision, Member, Message, Reason, Times
+from lichencleat.quorum.terms import Act, Decision, Group, Member, Message, Reason, Times
 from lichencleat.quorum.voter import Voter
 from lichencleat.quorum.wire import FORMAT, Carried, Greeted, Greeting, Reply, Request, raw
 from lichencleat.store.batch import Batch
@@ -128,9 +128,9 @@
         self.begun = self.now()
         self.takes_part = False
         self.outs: dict[int, Out] = {}
-        self.callers: dict[
-            int, Called
-        ] = {}  # the last link of each that called: a newcomer knows no other way
+        # the last link of each that called: a newcomer knows no other way
+        self.callers: dict[int, Called] = {}
+        self.linked: Group | None = None  # the group that `outs` are made for
         self.reads: list[tuple[int, Any, Callable[..., None]]] = []
         self.dumped: tuple[int, bytes] | None = None
         self.stirred = False
@@ -258,9 +258,8 @@
         try:
             while not self.ending and (decision := self.voter.next_decision()) is not None:
                 self.carry_out(decision)
-        except (
-            Exception
-        ):  # a state that is applied in half must not be told to anyone: it is read anew at a start
+        except Exception:
+            # a state that is applied in half must not be told to anyone: it is read anew at a start
             self.log.warning("error", trace=traceback.format_exc(limit=-3).replace("\n", " | "))
             self.end(3)
         if self.ending:
@@ -328,9 +327,11 @@
 
     def relink(self) -> None:
         """A link to every member of the group as it stands now."""
-        wanted = {
-            each.seat: each for each in self.voter.entries.group.members if each.seat != self.voter.seat
-        }
+        group = self.voter.entries.group
+        if group is self.linked:  # as at nearly every pull
+            return
+        self.linked = group
+        wanted = {each.seat: each for each in group.members if each.seat != self.voter.seat}
         for seat in [each for each in self.outs if self.outs[each].member != wanted.get(each)]:
             self.outs.pop(seat).close()
         for seat, member in wanted.items():
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -19,7 +19,7 @@
 from lichencleat.quorum.facts import Facts
 from lichencleat.quorum.file import QuorumChoice, host_port
 from lichencleat.quorum.journal import TOP, Journal
-from lichencleat.quorum.process import IDENTITY, Identity, Process, decode_identity, wake_up
+from lichencleat.quorum.process import IDENTITY, Identity, Process, wake_up
 from lichencleat.quorum.state import State, founded
 from lichencleat.quorum.terms import Group, Member
 from lichencleat.store.disk import Disk, RealDisk
@@ -173,14 +173,3 @@
     reactor.callWhenRunning(member.start)
     reactor.run(installSignalHandlers=False)
     return member.code
-
-
-def peek(chosen: QuorumChoice) -> Identity | None:
-    """Who a directory that nobody uses says it is. Raises StoreError."""
-    assert chosen.directory is not None
-    engine = Engine.open(RealDisk(chosen.directory), unix_time, random.Random(), BOUNDS)
-    try:
-        data = engine.get(IDENTITY)
-        return decode_identity(data) if data is not None else None
-    finally:
-        engine.close()
--- a/lichencleat/quorum/voter.py
+++ b/lichencleat/quorum/voter.py
@@ -298,7 +298,7 @@
     def win(self, now: int) -> None:
         self.role, self.leader = Role.LEADER, self.seat
         self.failed = 0
-        self.lead = Leading(self.seat, self.entries.last + 1, now)
+        self.lead = Leading(self.seat, self.entries.last + 1)
         self.lead.regroup(self.entries.group.seats(), self.entries.last + 1, now)
         self.take(now, Entry(self.term, What.NOTHING), None)
         self.beat(now)
