--- a/lichencleat/chosen/file.py
+++ b/lichencleat/chosen/file.py
@@ -15,6 +15,7 @@
 PART = re.compile(r"\.([^.\[]+)|\[(\d+)\]|\[\.\.\.\]")  # of a path as msgspec says it
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Address = Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 
 
@@ -22,16 +23,20 @@
     """One line: file, line, path, what is wrong and what would be right."""
 
 
+def host_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
 class CollectorChoice(Struct, forbid_unknown_fields=True, frozen=True):
     """One collector."""
 
-    address: Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+    address: Address
     wire: Literal["ipfix-udp", "ipfix-tcp", "netflow9-udp"] = "ipfix-udp"
     name: Name | None = None
 
     def host_port(self) -> tuple[str, int]:
-        host, _, port = self.address.rpartition(":")
-        return host.strip("[]"), int(port)
+        return host_port(self.address)
 
 
 class FlowsChoice(Struct, forbid_unknown_fields=True, frozen=True):
@@ -49,10 +54,34 @@
     links: bool = False  # meter the links to the interpreter and calls below, too
 
 
+class SharesChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    """A part of the dependency that this node's calls go to, dealt out by the fleet."""
+
+    pool: Name
+    floor: Annotated[int, Meta(ge=0, le=1_000_000)] = 0  # both as the pool was defined with
+    term_s: Annotated[float, Meta(ge=0.3, le=600)] = 5.0
+
+
+class FleetChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    """This node among others that agree through a group of voters. Absent: it stands alone."""
+
+    group: Name
+    members: Annotated[list[Address], Meta(min_length=1, max_length=64)]  # where the voters are looked for
+    zone: str = ""
+    candidate: bool = False  # it may own jobs of the fleet
+    shares: SharesChoice | None = None
+
+
+class LogChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    form: Literal["logfmt", "json"] = "logfmt"
+
+
 class Chosen(Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
     flows: FlowsChoice | None = None
+    fleet: FleetChoice | None = None
+    log: LogChoice | None = None  # absent: the node's plain lines
 
 
 @dataclass(frozen=True, slots=True)
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -101,6 +101,7 @@
         self.calls_ceiling = machine.calls_share * CALLS_PART if shared else float("inf")
         self.calls_most = min(self.calls_ceiling, float(machine.cores))
         self.calls_least = min(1.0, self.calls_ceiling * CALLS_LEAST)
+        self.calls_granted = float("inf")
         self.calls_cut_at = self.call_next_at = 0
         self.calls_longest = self.calls_ceiling * machine.calls_span if self.calls_ceiling < 1 else FAR
         self.fresh, self.hedges = machine.fresh, machine.below is Below.TIER
@@ -201,6 +202,10 @@
         inquiry.calls_failed += 1 if never_ran or pure else CALL_TRIES
         inquiry.call_after = now + int(CALL_PAUSE * self.pace) * inquiry.calls_failed
 
+    def may_call(self, now: int, most: int) -> None:
+        """So many calls may be out from now on, as agreed with other nodes; those that are out may stay."""
+        self.calls_granted = most
+
     def caller_left(self, now: int, inquiry: Inquiry) -> None:
         inquiry.answered = True
         if inquiry in self.running:
@@ -454,11 +459,14 @@
     def clogged(self) -> bool:
         """What is begun now would wait long at its call."""
         ahead = len(self.asking) + len(self.running)
-        return bool(self.asking) and (len(self.asking) >= self.calls_most or self.waits_long(ahead))
+        return bool(self.asking) and (len(self.asking) >= self.calls_bound() or self.waits_long(ahead))
 
     def waits_long(self, ahead: int) -> bool:
         """With so many before it, and calls as slow as the last few."""
-        return ahead * self.usual_call() / self.calls_most > self.longest_soft_limit * CLOGGED
+        return ahead * self.usual_call() / self.calls_bound() > self.longest_soft_limit * CLOGGED
+
+    def calls_bound(self) -> float:
+        return min(self.calls_most, max(self.calls_granted, CALLS_LEAST))
 
     def usual_call(self) -> float:
         return median([took for took, _ in self.call_times][-CALLS_FEW:] or [0.0])
@@ -532,7 +540,7 @@
                     yield self.give_up(inquiry)
                 continue
             paced = now < max(inquiry.call_after, self.call_next_at - CALLS_AHEAD)
-            if paced or self.calls_out(now) >= self.calls_most:
+            if paced or self.calls_out(now) >= self.calls_most or len(self.calling) >= self.calls_granted:
                 continue
             self.move(inquiry, self.calling, State.CALLING)
             inquiry.called_at = now
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import time
+from random import Random
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -38,7 +40,7 @@
     def __init__(self, reactor: Any, clock: Any, told: Told, chosen: Any = None) -> None:
         """`chosen`: the operators' file, as chosen.file.Chosen, where the node is told of one."""
         self.reactor, self.clock, self.told = reactor, clock, told
-        self.report = Report(told.name, clock)
+        self.report = self.make_report(chosen)
         self.deadlines = Deadlines(reactor, self.report.trouble)
         self.interpreter = Interpreter(reactor, told.interpreter, self.deadlines, self.report)
         self.catalogue = Catalogue(reactor, told.catalogue, self.deadlines, self.report)
@@ -60,12 +62,26 @@
             self.flows = Flows(reactor, clock, self.deadlines, self.report, told.seed, chosen.flows)
             if chosen.flows.links:
                 self.interpreter.wrap = self.catalogue.wrap = self.flows.metered
+        self.fleet: Any = None
+        if chosen is not None and chosen.fleet is not None:
+            from lichencleat.shares.seat import FleetNode  # off means not imported: memory counts
+
+            self.fleet = FleetNode(
+                reactor, told.name, chosen.fleet, self.host, Random(os.urandom(16)), self.report.events()
+            )
         self.dispatchers = Dispatchers(
             self.host, self.deadlines, self.report, told.descriptors, told.tenants, self.flows
         )
         self.ended: Deferred = Deferred()
         self.stop_at: int | None = None
 
+    def make_report(self, chosen: Any) -> Report:
+        if chosen is None or chosen.log is None:
+            return Report(self.told.name, self.clock)
+        from lichencleat.net.structured import StructuredReport  # off means not imported: memory counts
+
+        return StructuredReport(self.told.name, self.clock, chosen.log.form)
+
     def start(self) -> None:
         self.dispatchers.listen(self.reactor, self.told.listen)
         self.interpreter.start().addCallback(self.host.begin)
@@ -73,6 +89,8 @@
         self.deadlines.after(BELIEFS, self.tell_beliefs)
         if self.flows is not None:
             self.flows.start()
+        if self.fleet is not None:
+            self.fleet.start()
 
     def tell_beliefs(self) -> None:
         """One line with what the node believes, to be compared with what its peers see."""
@@ -81,6 +99,8 @@
         beliefs = [each.beliefs() for each in parts]
         if self.flows is not None:
             beliefs.append(f"flows: {self.flows.beliefs()}")
+        if self.fleet is not None:
+            beliefs.append(f"fleet: {self.fleet.beliefs()}")
         self.report.note("believes: " + "; ".join(beliefs))
 
     def reload(self, told: Told, chosen: Any = None) -> None:
@@ -113,6 +133,8 @@
             self.report.note("told to leave")
             self.host.must_leave(self.stop_at)
             self.membership.leave()
+            if self.fleet is not None:
+                self.fleet.leave()
             latest = max(0, self.told.stop_after - CLOSED_BY - CROSSING)
             self.deadlines.after(min(self.told.machine.grace, latest), self.look)
 
@@ -134,6 +156,8 @@
         self.membership.stop()
         self.interpreter.stop()
         self.catalogue.stop()
+        if self.fleet is not None:
+            self.fleet.stop()
         self.report.note(f"left with {self.host.owed()} unanswered")
         if self.flows is None:
             self.over()
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -84,6 +84,8 @@
         self.healthy = True
         self.free_value: float | None = None
         self.doors: list[Door] = []  # one for each protocol that callers speak
+        self.calls_granted: int | None = None  # None: nobody deals them out
+        self.call_span: Callable[[int], int] = lambda span: span  # shortened where a grant ends before
         self.carries_out = {
             Act.START: self.start_run,
             Act.STOP: self.stop_run,
@@ -107,6 +109,8 @@
         """The interpreter is up: from now on there is something to decide on."""
         self.machine.cold = cold
         self.node = Node(self.machine, random.Random(self.seed))
+        if self.calls_granted is not None:
+            self.node.may_call(self.clock(), self.calls_granted)
         if self.leaves_at is not None:
             self.node.must_leave(self.clock(), self.leaves_at)
         self.stir()
@@ -172,6 +176,18 @@
         self.node.call_ended(now, case.inquiry, outcome, now - case.inquiry.called_at)
         self.stir()
 
+    def may_call(self, most: int) -> None:
+        self.calls_granted = most
+        if self.node is not None:
+            self.node.may_call(self.clock(), most)
+            self.stir()
+
+    def calls_wanted(self) -> tuple[int, int]:
+        """How many are out, and how many would be if they might."""
+        out = sum(case.call is not None for case in self.cases)
+        waiting = sum(case.inquiry.state is State.ASKING for case in self.cases)
+        return out, out + waiting
+
     def must_leave(self, at: int) -> None:
         if self.leaves_at is None:
             self.leaves_at = at
@@ -278,7 +294,8 @@
         self.release(case)
 
     def place_call(self, decision: Decision, case: Case) -> None:
-        case.call = self.catalogue.fetch(case.ident, decision.span, case.call_body, case.spent)
+        span = self.call_span(decision.span)
+        case.call = self.catalogue.fetch(case.ident, span, case.call_body, case.spent)
         case.spent.append(case.call.link)
         case.call.ended.addCallback(
             lambda ended, call: self.tend(case, self.call_ended, call, *ended), case.call
--- a/lichencleat/net/report.py
+++ b/lichencleat/net/report.py
@@ -6,6 +6,7 @@
 import traceback
 from collections import Counter, deque
 from collections.abc import Callable
+from typing import Any
 
 LINES_MOST = 20  # log lines a second: enough to see each kind of trouble, too few to cost a core
 SECOND = 1_000_000  # µs
@@ -35,7 +36,15 @@
     def trouble(self, where: str) -> None:
         """An exception that was caught: counted, and told with the place that raised it."""
         self.count("node", "errors")
-        self.note(f"error in {where}: " + " | ".join(traceback.format_exc(limit=-3).split("\n")))
+        self.note(f"error in {where}: {self.trace()}")
+
+    @staticmethod
+    def trace() -> str:
+        return " | ".join(traceback.format_exc(limit=-3).split("\n"))
+
+    def events(self) -> Events:
+        """Where subsystems tell events with fields."""
+        return Events(self)
 
     def write(self, line: str) -> None:
         try:
@@ -46,3 +55,16 @@
     def summary(self) -> None:
         for name in sorted(self.counts):
             self.write(f"{self.name} counter {name}: {self.counts[name]}")
+
+
+class Events:
+    """Events with fields, as plain lines."""
+
+    def __init__(self, report: Report) -> None:
+        self.report = report
+
+    def info(self, event: str, **fields: Any) -> None:
+        said = ", ".join(f"{name} {value}" for name, value in fields.items() if value != "")
+        self.report.note(f"{event}: {said}" if said else event)
+
+    warning = info
--- a/lichencleat/quorum/client.py
+++ b/lichencleat/quorum/client.py
@@ -50,8 +50,8 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        name = self.client.name
-        self.send(Greeting(FORMAT, b"", name, 0, 0, Life(0, 0), ""))
+        client = self.client
+        self.send(Greeting(FORMAT, b"", client.name, 0, 0, Life(0, 0), client.who))
 
     def stringReceived(self, data: bytes) -> None:
         frame = self.read(data)
@@ -82,9 +82,11 @@
 class Client:
     """Owns one connection at a time and the calls that wait; both are given back in `close`."""
 
-    def __init__(self, reactor: Any, name: str, addresses: list[tuple[str, int]], rng: random.Random) -> None:
-        """`name`: the group's; `addresses`: of members, any of them may be down."""
-        self.reactor, self.name, self.rng = reactor, name, rng
+    def __init__(
+        self, reactor: Any, name: str, addresses: list[tuple[str, int]], rng: random.Random, who: str = ""
+    ) -> None:
+        """`name`: the group's; `addresses`: of members, any of them may be down; `who` calls, for their logs."""
+        self.reactor, self.name, self.rng, self.who = reactor, name, rng, who
         self.addresses = list(addresses)
         self.at = rng.choice(self.addresses)
         self.link: Link | None = None
--- a/lichencleat/quorum/file.py
+++ b/lichencleat/quorum/file.py
@@ -6,10 +6,11 @@
 
 from msgspec import Meta, Struct
 
-from lichencleat.chosen.file import Name, Place, WrongFileError, load, read_as
+from lichencleat.chosen.file import Address, LogChoice, Name, Place, WrongFileError, host_port, load, read_as
 from lichencleat.quorum.terms import Times
 
-Address = Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+__all__ = ["QuorumChoice", "QuorumFile", "host_port", "read_quorum"]
+
 Milliseconds = Annotated[int, Meta(ge=1, le=600_000)]
 
 
@@ -27,10 +28,6 @@
         )
 
 
-class LogChoice(Struct, forbid_unknown_fields=True, frozen=True):
-    form: Literal["logfmt", "json"] = "logfmt"
-
-
 class QuorumChoice(Struct, forbid_unknown_fields=True, frozen=True):
     group: Name  # the same at each member and client
     members: Annotated[list[Address], Meta(min_length=1, max_length=64)]  # where clients look for the group
@@ -70,8 +67,3 @@
         if member and getattr(quorum, key) is None:
             line = place.line("$.quorum")
             raise WrongFileError(f"{path}, line {line}: quorum.{key}: is missing; a member needs it")
-
-
-def host_port(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -20,8 +20,9 @@
 from lichencleat.quorum.file import QuorumChoice, host_port
 from lichencleat.quorum.journal import TOP, Journal
 from lichencleat.quorum.process import IDENTITY, Identity, Process, wake_up
-from lichencleat.quorum.state import State, founded
+from lichencleat.quorum.state import Part, State, founded
 from lichencleat.quorum.terms import Group, Member
+from lichencleat.shares.pools import Pools
 from lichencleat.store.disk import Disk, RealDisk
 from lichencleat.store.engine import Engine
 from lichencleat.store.errors import StoreError
@@ -73,6 +74,12 @@
         engine.close()
 
 
+def parts() -> dict[str, Part]:
+    """What the group decides on; the same at each member."""
+    jobs = Jobs()
+    return {"facts": Facts(), "owners": jobs, "shares": Pools(jobs)}
+
+
 class ExpiryTender:
     """What the leader says of candidates that are gone."""
 
@@ -127,7 +134,7 @@
                 listen,
                 self.log,
                 self.rng,
-                lambda: {"facts": Facts(), "owners": Jobs()},
+                parts,
                 ExpiryTender().tend,
                 chosen.times.times(),
                 chosen.zone,
