--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -19,6 +19,7 @@
         "lichencleat.cli.quorum",
         "Voters that agree on small facts: make a group, run it, change it.",
     ),
+    "shares": ("lichencleat.cli.shares", "Parts of a dependency, dealt out to the fleet's nodes."),
     "store": ("lichencleat.cli.store", "Records that survive cuts: put, get, check, repair."),
 }
 EXTRAS = {
--- a/lichencleat/cli/shares.py
+++ b/lichencleat/cli/shares.py
@@ -80,9 +80,7 @@
 @FILE
 @POOL
 @click.option("--limit", type=int, required=True, help="Calls in hand that the dependency survives.")
-@click.option(
-    "--nodes", type=int, required=True, help="How many nodes there may be: a floor is kept for each."
-)
+@click.option("--nodes", type=int, required=True, help="How many nodes there may be.")
 @click.option("--floor", default=0, show_default=True, help="Calls that a node may have without any word.")
 @click.option("--term", default=5.0, show_default=True, help="Seconds that a grant lasts unless renewed.")
 def define(file: str, pool: str, limit: int, nodes: int, floor: int, term: float) -> None:
--- a/lichencleat/lab/sim/shares.py
+++ b/lichencleat/lab/sim/shares.py
@@ -1,8 +1,9 @@
-"""Nodes that share a dependency, through drawn faults in simulated time: `python -m lichencleat.lab.sim.shares`.
+"""Nodes that share a dependency, through drawn faults in simulated time:
+`python -m lichencleat.lab.sim.shares`.
 
-The log is one order with losses, and with tries that are applied long after their caller gave them up. Owners
-change, and old ones go on dealing. Judged at every step: what all nodes believe they may have in hand, and what
-the dependency has in hand, against the limit.
+The log is one order with losses, and with tries that are applied long after their caller gave them up.
+Owners change, and old ones go on dealing. Judged at every step: what all nodes believe they may have in
+hand, and what the dependency has in hand, against the limit.
 """
 
 from __future__ import annotations
@@ -136,7 +137,7 @@
             self.grants.failed(self.clock())
 
     def work(self) -> None:
-        """Lets out what it may; each call ends at its own time, or at the one that the dependency was told."""
+        """Lets out what it may; each call ends at its own time, or at the one that it was told."""
         now = self.clock()
         while len(self.out) < min(self.wants, self.grants.usable(now)):
             span = self.clock.until(now + self.grants.span(now))
--- a/lichencleat/quorum/client.py
+++ b/lichencleat/quorum/client.py
@@ -85,7 +85,7 @@
     def __init__(
         self, reactor: Any, name: str, addresses: list[tuple[str, int]], rng: random.Random, who: str = ""
     ) -> None:
-        """`name`: the group's; `addresses`: of members, any of them may be down; `who` calls, for their logs."""
+        """`name`: the group's; `addresses`: of members, any may be down; `who` calls, for their logs."""
         self.reactor, self.name, self.rng, self.who = reactor, name, rng, who
         self.addresses = list(addresses)
         self.at = rng.choice(self.addresses)
--- a/lichencleat/shares/deal.py
+++ b/lichencleat/shares/deal.py
@@ -10,9 +10,7 @@
 from lichencleat.shares.terms import Pool
 
 STEP = 0.15  # of what a node has: smaller changes are left, for each costs a renewal and some quiet calls
-SPARE = (
-    0.5  # of what is left beyond all needs, dealt on top: a burst needs no round trip; the rest stays free
-)
+SPARE = 0.5  # of what is left beyond all needs, dealt on top: a burst needs no round trip
 
 
 def targets(pool: Pool) -> dict[str, int]:
@@ -47,10 +45,11 @@
 
 
 def worth_saying(pool: Pool, wanted: dict[str, int]) -> dict[str, int]:
-    """The targets that differ by enough from those in force; any that differ while a node lacks what it needs.
+    """The targets that differ by enough from those in force; any that differ while a node lacks what it
+    needs.
 
-    Guards against a message for each call that comes or goes. A sum of old and new targets over the limit does
-    no harm: what is reserved grows only into what is free.
+    Guards against a message for each call that comes or goes. A sum of old and new targets over the limit
+    does no harm: what is reserved grows only into what is free.
     """
     seats = pool.seats
     lacking = any(seats[name].need > seats[name].held < amount for name, amount in wanted.items())
