--- a/benchmarks/quorum_size.py
+++ b/benchmarks/quorum_size.py
@@ -1,7 +1,7 @@
 """What hundreds of learners cost a group of three, in simulated time: `python -m benchmarks.quorum_size`.
 
-Two questions of docs/quorum.md: do all learners, cut off for ten seconds of writes and back at once, unseat the
-leader, and how long until each has caught up; and how often does leadership change in an hour of calm.
+Do all learners, cut off for ten seconds of writes and back at once, unseat the leader, and how long until
+each has caught up; and how often does leadership change in an hour of calm.
 """
 
 from __future__ import annotations
--- a/lichencleat/chosen/file.py
+++ b/lichencleat/chosen/file.py
@@ -72,6 +72,15 @@
     shares: SharesChoice | None = None
 
 
+class KeyedChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    """Receipts and results that outlive a restart. Absent: they end with the process."""
+
+    directory: Annotated[str, Meta(min_length=1)]  # of this node alone, on a disk that lasts
+    entries: Annotated[int, Meta(ge=100, le=10_000_000)] = 100_000  # keys in their windows
+    disk_mb: Annotated[float, Meta(ge=32, le=1_000_000)] = 256.0
+    disk: Literal["real", "held back"] = "real"  # held back: for tests, a kill loses what was not flushed
+
+
 class LogChoice(Struct, forbid_unknown_fields=True, frozen=True):
     form: Literal["logfmt", "json"] = "logfmt"
 
@@ -80,6 +89,7 @@
     """The whole file."""
 
     flows: FlowsChoice | None = None
+    keyed: KeyedChoice | None = None
     fleet: FleetChoice | None = None
     log: LogChoice | None = None  # absent: the node's plain lines
 
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -127,6 +127,7 @@
         self.sharing: dict[Inquiry, None] = {}
         self.to_stop: dict[Inquiry, None] = {}
         self.receipts: dict[Inquiry, int] = {}  # until when each entry lives
+        self.able_to_record = True
         self.unrun = False  # some inquiry ended without a run since the receipts were looked through
         # what is known
         self.gauges = Gauges()
@@ -171,6 +172,22 @@
         if not inquiry.answered and outcome is Outcome.STOPPED:
             self.move(inquiry, self.held, State.HELD)
 
+    def outcome_waits(self, now: int, inquiry: Inquiry, took: int) -> None:
+        """It has run, and its outcome is being recorded: it holds no core, and `run_ended` follows."""
+        self.run_times.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(took)
+        self.usual_runs.clear()
+        self.progress_at = now
+        self.move(inquiry, self.sharing, State.SHARING)
+
+    def may_record(self, now: int, able: bool) -> None:
+        self.able_to_record = able
+
+    def not_recorded(self, now: int, inquiry: Inquiry) -> None:
+        """Its entry could not be made, so it was not begun."""
+        self.receipts.pop(inquiry, None)
+        inquiry.started = None
+        self.move(inquiry, self.held, State.HELD)
+
     def wants_call(self, now: int, inquiry: Inquiry) -> None:
         self.progress_at = now
         self.move(inquiry, self.asking, State.ASKING)
@@ -210,7 +227,7 @@
         inquiry.answered = True
         if inquiry in self.running:
             self.to_stop[inquiry] = None
-        elif inquiry.state in (State.HELD, State.SHARING):
+        elif inquiry.state is State.HELD or (inquiry.state is State.SHARING and inquiry.started is None):
             self.end(inquiry)
 
     def must_leave(self, now: int, at: int) -> None:
@@ -499,11 +516,13 @@
                 # takes its place, and the second repeats that one.
                 first.successor, inquiry.repeats = inquiry, None
                 self.receipts.pop(first, None)
+            bare = self.takes_entry(inquiry) and inquiry not in self.receipts
+            no_entry = bare and not self.able_to_record and inquiry.tariff.effect is Effect.RECEIPTED
             if self.has_run(inquiry):
                 yield self.give_up(inquiry)
-            elif not self.may_run(inquiry) or self.too_late(now, inquiry) or self.stalled(now):
+            elif no_entry or not self.may_run(inquiry) or self.too_late(now, inquiry) or self.stalled(now):
                 yield self.defer(now, inquiry)
-            elif self.takes_entry(inquiry) and inquiry not in self.receipts:
+            elif bare:
                 yield self.record(now, inquiry)  # however it came into the hold: without, it never starts
 
     def takes_entry(self, inquiry: Inquiry) -> bool:
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredList
 
 from lichencleat.clocks import unix_time
 from lichencleat.net.catalogue import Catalogue
@@ -22,6 +22,7 @@
 BELIEFS = 10_000_000  # µs between lines that tell what the node believes: a log stays readable
 CLOSED_BY = 150_000  # µs before the stop by which the program ends in any case
 FLUSHED_BY = 50_000  # µs before the stop by which the last flow records are sent or given up
+CANT_START = 2  # exit code
 CROSSING = 300_000  # µs after goaway for what crosses it, and for the last answers to go out
 
 
@@ -69,11 +70,19 @@
             self.fleet = FleetNode(
                 reactor, told.name, chosen.fleet, self.host, Random(os.urandom(16)), self.report.events()
             )
+        self.keyed: Any = None
+        self.chosen = chosen
+        if chosen is not None and chosen.keyed is not None:
+            from lichencleat.keyed.assembly import make_keeper  # off means not imported: memory counts
+
+            self.keyed = self.host.keyed = make_keeper(self, told.name, chosen.keyed, clock)
+            self.host.able = False
         self.dispatchers = Dispatchers(
             self.host, self.deadlines, self.report, told.descriptors, told.tenants, self.flows
         )
         self.ended: Deferred = Deferred()
         self.stop_at: int | None = None
+        self.code = 0  # for the process to exit with
 
     def make_report(self, chosen: Any) -> Report:
         if chosen is None or chosen.log is None:
@@ -91,6 +100,18 @@
             self.flows.start()
         if self.fleet is not None:
             self.fleet.start()
+        if self.keyed is not None:
+            from lichencleat.keyed.assembly import start_keeper
+
+            started = start_keeper(self.reactor, self.keyed, self.chosen.keyed, self.clock)
+            started.addErrback(self.cant_start)
+
+    def cant_start(self, failure: Any) -> None:
+        """Nothing receipted was begun: the program ends with what is wrong, and serves nothing."""
+        self.code = CANT_START
+        self.report.note(f"can't start: {failure.getErrorMessage()}")
+        self.dispatchers.stop_listening()
+        self.end_at_once()
 
     def tell_beliefs(self) -> None:
         """One line with what the node believes, to be compared with what its peers see."""
@@ -101,6 +122,8 @@
             beliefs.append(f"flows: {self.flows.beliefs()}")
         if self.fleet is not None:
             beliefs.append(f"fleet: {self.fleet.beliefs()}")
+        if self.keyed is not None:
+            beliefs.append(f"keyed: {self.keyed.beliefs()}")
         self.report.note("believes: " + "; ".join(beliefs))
 
     def reload(self, told: Told, chosen: Any = None) -> None:
@@ -153,18 +176,28 @@
         ) and self.clock() < self.stop_at - CLOSED_BY:
             self.deadlines.after(LOOK, self.end)
             return
+        self.report.note(f"left with {self.host.owed()} unanswered")
+        self.end_at_once()
+
+    def end_at_once(self) -> None:
+        """All answers are out: what is left to write is flushed, as far as the time to stop allows."""
         self.membership.stop()
         self.interpreter.stop()
         self.catalogue.stop()
         if self.fleet is not None:
             self.fleet.stop()
-        self.report.note(f"left with {self.host.owed()} unanswered")
-        if self.flows is None:
+        now = self.clock()
+        left = (self.stop_at or now + self.told.stop_after) - FLUSHED_BY - now
+        flushed = []
+        if self.flows is not None:
+            flushed.append(self.flows.flush(left))
+        if self.keyed is not None:
+            flushed.append(self.keyed.close())
+        if not flushed:
             self.over()
-        else:  # only now: all answers are out
-            left = self.stop_at - FLUSHED_BY - self.clock()
-            self.deadlines.after(left, self.over)  # guards the time to stop, whatever happens to the flush
-            self.flows.flush(left).addBoth(self.over)
+            return
+        self.deadlines.after(left, self.over)  # guards the time to stop, whatever happens to the flush
+        DeferredList(flushed, consumeErrors=True).addBoth(self.over)
 
     def over(self, _: Any = None) -> None:
         if not self.ended.called:
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -36,7 +36,19 @@
 class Case:
     """An inquiry in hand, and what the host needs to carry out what is decided on it."""
 
-    __slots__ = ("inquiry", "ident", "body", "key", "reply", "open", "run", "call", "call_body", "spent")
+    __slots__ = (
+        "inquiry",
+        "ident",
+        "body",
+        "key",
+        "reply",
+        "open",
+        "run",
+        "unsettled",
+        "call",
+        "call_body",
+        "spent",
+    )
 
     def __init__(
         self, inquiry: Inquiry, ident: bytes, body: bytes, key: bytes, reply: Callable[..., None]
@@ -45,6 +57,7 @@
         self.reply = reply  # with the Answer, the result, the span to stay away, and whether to try elsewhere
         self.open = True  # an answer is owed
         self.run: Run | None = None
+        self.unsettled = False  # its start or its outcome waits for the disk
         self.call: Call | None = None
         self.call_body = b""
         self.spent: list[Any] = []  # connections that carried a call of it
@@ -86,6 +99,8 @@
         self.doors: list[Door] = []  # one for each protocol that callers speak
         self.calls_granted: int | None = None  # None: nobody deals them out
         self.call_span: Callable[[int], int] = lambda span: span  # shortened where a grant ends before
+        self.keyed: Any = None  # as keyed.keeper.Keeper, where receipts outlive a restart
+        self.able = True  # to record receipted inquiries
         self.carries_out = {
             Act.START: self.start_run,
             Act.STOP: self.stop_run,
@@ -111,6 +126,7 @@
         self.node = Node(self.machine, random.Random(self.seed))
         if self.calls_granted is not None:
             self.node.may_call(self.clock(), self.calls_granted)
+        self.node.may_record(self.clock(), self.able)
         if self.leaves_at is not None:
             self.node.must_leave(self.clock(), self.leaves_at)
         self.stir()
@@ -120,14 +136,26 @@
         if self.node is None:
             self.answer(case, Answer.GIVEN_UP)
             return
-        inquiry = case.inquiry
-        inquiry.number = self.cases.take(case)
+        case.inquiry.number = self.cases.take(case)
         self.idents.add(case.ident)
-        if inquiry.tariff.effect is Effect.RECEIPTED and case.key:
-            inquiry.repeats = self.receipts.read(case.key, inquiry)
+        if self.keyed is None or not case.key or self.keyed.arrives(case):
+            self.takes(case)
+
+    def takes(self, case: Case) -> None:
+        """What is known of its key was looked up: now it is for the decisions."""
+        inquiry = case.inquiry
+        if case.key and (first := self.receipts.first(case.key, inquiry)) is not None:
+            inquiry.repeats, inquiry.repeats_unknown = first, False
+        elif case.key and not inquiry.repeats_unknown:
+            self.receipts.enter(case.key, inquiry)
         self.node.arrives(self.clock(), inquiry)
         self.stir()
 
+    def refuses(self, case: Case) -> None:
+        """It is given up before the decisions hear of it."""
+        self.answer(case, Answer.GIVEN_UP)
+        self.release(case)
+
     def caller_left(self, case: Case) -> None:
         """The caller is known to be gone: no answer is owed any more."""
         if case.open:
@@ -147,10 +175,28 @@
         self.node.wants_call(self.clock(), case.inquiry)
         self.stir()
 
-    def run_ended(self, case: Case, outcome: Outcome, took: int, result: bytes) -> None:
+    def recorded(self, case: Case, outcome: Outcome, took: int, result: bytes) -> None:
+        """Its result survives a cut, or never will: now it may be told."""
+        case.unsettled = False
+        self.run_ended(case, outcome, took, result, True)
+
+    def run_ended(
+        self, case: Case, outcome: Outcome, took: int, result: bytes, recorded: bool = False
+    ) -> None:
         now, inquiry, run = self.clock(), case.inquiry, case.run
         case.run = None
         self.drop_call(case)
+        if self.keyed is not None and case.key and not recorded:
+            if outcome in (Outcome.COMPLETED, Outcome.ERRED):
+                case.unsettled = True
+                self.node.outcome_waits(now, inquiry, took)
+                self.stir()
+                self.keyed.ran(
+                    case, outcome, result, partial(self.tend, case, self.recorded, outcome, took, result)
+                )
+                return
+            if outcome is not Outcome.UNREACHED:
+                self.keyed.ended(case)
         if outcome in (Outcome.STOPPED, Outcome.VOID) and not (run and run.stopping):
             self.node.caller_left(now, inquiry)  # it ends by itself only where nobody waits any more
         if outcome is Outcome.UNREACHED:
@@ -269,7 +315,41 @@
                 self.answer(case, Answer.GIVEN_UP)
                 self.deadlines.after(0, self.fail, case)
 
+    def may_record(self, able: bool) -> None:
+        self.able = able
+        if self.node is not None:
+            self.node.may_record(self.clock(), able)
+            self.stir()
+
+    def not_begun(self, case: Case) -> None:
+        """Its entry could not be made: nothing was begun, and the decisions are asked again."""
+        case.unsettled = False
+        if case.inquiry.state is not State.ENDED:
+            self.receipts.unrecord(case.inquiry)
+            self.node.not_recorded(self.clock(), case.inquiry)
+        self.release(case)
+        self.stir()
+
+    def never_began(self, case: Case) -> None:
+        """Nobody waits for it any more, and it was not begun yet: that it never ran is proved."""
+        case.unsettled = False
+        self.run_ended(case, Outcome.UNREACHED, 0, b"")
+
+    def adopts(self, ident: bytes, ended: Callable[[Outcome, int, bytes], None]) -> None:
+        self.interpreter.adopt(ident, ended)
+
+    def adopts_no_more(self) -> None:
+        self.interpreter.early = None
+
     def start_run(self, decision: Decision, case: Case) -> None:
+        if self.keyed is not None and case.key:
+            case.unsettled = True
+            self.keyed.starts(case)
+        else:
+            self.begin_run(case)
+
+    def begin_run(self, case: Case) -> None:
+        case.unsettled = False
         case.run = Run(
             case.ident,
             partial(self.tend, case, self.run_waits),
@@ -285,6 +365,8 @@
     def defer(self, decision: Decision, case: Case) -> None:
         self.drop_call(case)
         self.answer(case, Answer.DEFERRED, span=decision.span, last=decision.flag)
+        for sharer in self.receipts.ended(case.inquiry, None) if self.keyed is not None else ():
+            self.end_share(sharer, None)  # they waited for a run that was not begun after all
         self.release(case)
 
     def give_up(self, decision: Decision, case: Case) -> None:
@@ -308,13 +390,20 @@
 
     def record(self, decision: Decision, case: Case) -> None:
         self.receipts.record(self.clock(), case.key, case.inquiry, decision.span)
+        if self.keyed is not None and case.key:
+            self.keyed.intends(case, decision.span)
 
     def strike(self, decision: Decision, case: Case | None) -> None:
         self.receipts.strike(decision.inquiry)
+        if self.keyed is not None:
+            self.keyed.strikes(decision.inquiry)
 
     def share(self, decision: Decision, case: Case) -> None:
         """An outcome that is there already is answered after this round: inputs wait for its end."""
         first = case.inquiry.repeats
+        if first is None and self.keyed is not None:
+            self.keyed.share(case)
+            return
         self.receipts.share(first, case)
         if first is None or first.state is State.ENDED:
             self.shares.append(case)
@@ -356,7 +445,7 @@
 
     def release(self, case: Case) -> None:
         """Gives the case back once it is neither owed an answer nor run."""
-        if case.open or case.run is not None or case.inquiry.number < 0:
+        if case.open or case.run is not None or case.unsettled or case.inquiry.number < 0:
             return
         self.receipts.over(case.inquiry)
         self.idents.discard(case.ident)
--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -17,6 +17,7 @@
 AGAIN = 50_000  # µs after a try to connect that failed: a lost link itself is renewed at once
 CONNECT_WAIT = 1_000_000  # µs for a connection on the same machine
 MAYBE_LOST = 100_000  # µs: twice what a link that breaks may take along of the commands written before
+EARLY_MOST = 4_000  # ends of runs that an earlier life began, until it is known which: as many as are told
 REPLACED_STAYS = 2_000_000  # µs that a replaced link may stay open: the other side ends it after 1.5 s
 SILENT = 2_000_000  # µs without gauges, asked for ten times a second: to connect anew does no harm
 KINDS = (b"VALUE", b"AWAIT", b"TRACE", b"TOPS", b"BANNER", b"ERROR")
@@ -109,6 +110,8 @@
         self.link: Link | None = None
         self.up: Deferred | None = Deferred()  # fires once: is it cold
         self.closed = False
+        self.began: Callable[[int], None] = lambda age: None  # told how long ago the interpreter started, µs
+        self.early: dict[bytes, tuple[Outcome, int, bytes]] | None = None  # ends of runs not known here yet
         self.told_at = 0  # the last gauges
         self.lost_at: int | None = None  # the first link to break since commands were last known to arrive
         self.connecting: Connecting | None = None
@@ -181,6 +184,19 @@
         run.pure = pure
         self.command(run, line_with_body(b"APPLY", run.ident, tariff, body=body))
 
+    def adopt(self, ident: bytes, ended: Callable[[Outcome, int, bytes], None]) -> None:
+        """A run that an earlier life of this node began, and that may be going on."""
+        known = (self.early or {}).pop(ident, None)
+        if known is not None:
+            ended(*known)
+            return
+        run = self.runs[ident] = Run(ident, lambda body: None, ended)
+        run.begun = True
+
+    def disown(self, ident: bytes) -> None:
+        """Nobody waits for an earlier life's run any more."""
+        self.runs.pop(ident, None)
+
     def resolve(self, run: Run, reply: bytes) -> None:
         self.command(run, line_with_body(b"RESOLVE", run.ident, body=reply))
 
@@ -284,6 +300,7 @@
         self.report.note(f"interpreter: {state.decode('ascii', 'replace')}, up for {age_ms:.0f} ms")
         self.report.count("interpreter", "banners")
         link.ask_gauges(b"sync").addCallback(lambda got: got is not None and self.renew(link))
+        self.began(int(age_ms * 1000))
         if self.up is not None:
             self.up, up = None, self.up
             up.callback(state == b"EMPTY")
@@ -308,6 +325,8 @@
         run = self.runs.pop(ident, None)
         if run is None:
             self.report.count("interpreter", "notices of no run")
+            if self.early is not None and len(self.early) < EARLY_MOST:
+                self.early[ident] = OUTCOMES[end], int(took_ms * 1000), result
             return
         self.report.count("interpreter", "ended " + end.decode())
         run.ended(OUTCOMES[end], int(took_ms * 1000), result)
--- a/lichencleat/net/program.py
+++ b/lichencleat/net/program.py
@@ -90,4 +90,4 @@
     tidy(node.deadlines)
     gc.freeze()  # what stands by now stays: a full collection looks through what came since, not through all
     reactor.run(installSignalHandlers=False)
-    return 0
+    return node.code
--- a/lichencleat/net/receipts.py
+++ b/lichencleat/net/receipts.py
@@ -39,11 +39,15 @@
 
     def read(self, key: bytes, inquiry: Inquiry) -> Inquiry | None:
         """The try that this one repeats, or None: then the tries to come repeat this one."""
+        first = self.first(key, inquiry)
+        if first is None:
+            self.enter(key, inquiry)
+        return first
+
+    def first(self, key: bytes, inquiry: Inquiry) -> Inquiry | None:
+        """The try that this one repeats, if any."""
         receipt = self.by_key.get(key)
-        if receipt is not None and receipt.leads(inquiry.arrived):
-            return receipt.inquiry
-        self.enter(key, inquiry)
-        return None
+        return receipt.inquiry if receipt is not None and receipt.leads(inquiry.arrived) else None
 
     def enter(self, key: bytes, inquiry: Inquiry) -> Receipt:
         replaced = self.by_key.get(key)
@@ -58,6 +62,13 @@
         self.deadlines.cancel(receipt.gone)
         receipt.gone = self.deadlines.after(span + READ_LATE, self.forget, receipt)
 
+    def unrecord(self, inquiry: Inquiry) -> None:
+        """Its entry was not made after all: until it is recorded again, it counts while it is in hand."""
+        receipt = self.by_inquiry.get(inquiry)
+        if receipt is not None:
+            receipt.until = None
+            self.deadlines.cancel(receipt.gone)
+
     def strike(self, inquiry: Inquiry) -> None:
         receipt = self.by_inquiry.get(inquiry)
         if receipt is not None:
--- /dev/null
+++ b/tests/keyed/kills.py
@@ -0,0 +1,184 @@
+"""The real node killed at drawn moments under repeated keys: `python -m tests.keyed.kills --kills 500`.
+
+Its engine outlives it and counts runs; its disk holds back what was not flushed, so that each kill is a cut
+of power. Callers ask for the same keys again and again, across the restarts. Judged: no key runs twice in its
+window, whatever was honoured was made by a run, and all that was honoured for one key is the same.
+"""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import click
+
+from lichencleat.lab.rig.nodes import HARD_LIMIT, RigNode, settings
+from lichencleat.lab.rig.rig import Rig, wait_until
+
+WINDOW = 30.0  # s: longer than a round, so that no key may run twice in it
+KEYS = 40  # of a round
+OPEN = 12  # tries at once
+
+
+@dataclass
+class Ran:
+    seed: int
+    kills: int = 0
+    tries: int = 0
+    answers: Counter = field(default_factory=Counter)
+    runs: int = 0
+    repeats_honoured: int = 0  # of a key that an earlier life ran
+    wrong: str | None = None
+
+
+class Round:
+    """One node through some kills, with keys of its own."""
+
+    def __init__(self, rig: Rig, seed: int, kills: int, forgets: bool) -> None:
+        self.rng = random.Random(f"kills {seed}")
+        self.rig, self.kills = rig, kills
+        chosen = {"keyed": {"directory": str(rig.path / "keyed"), "disk": "held back"}}
+        told = settings(window=WINDOW)
+        self.node = RigNode(
+            rig, "n1", chosen, None, told, work=self.rng.choice([0.002, 0.05, 0.3]), forgets=forgets
+        )
+        self.keys = [b"%032x" % self.rng.getrandbits(128) for _ in range(KEYS)]
+        self.caller = None
+        self.ran = Ran(seed)
+        self.on = True
+        self.life = 0
+
+    def step(self) -> None:
+        """Keeps tries open: mostly of keys that came before."""
+        if not self.on:
+            return
+        caller = self.caller
+        if caller is not None:
+            while caller.waiting < OPEN:
+                key = self.rng.choice(self.keys)
+                if caller.ask(b"save", b"body " + key, HARD_LIMIT, self.rng, key) is None:
+                    break
+        self.rig.relays.reactor.callLater(self.rng.uniform(0.001, 0.01), self.step)
+
+    def play(self) -> Ran:
+        rig, node = self.rig, self.node
+        rig.relays.reactor.callFromThread(self.step)
+        for _ in range(self.kills):
+            node.start()
+            self.caller = node.caller()
+            before = sum(self.answers().values())
+            wait_until(lambda had=before: sum(self.answers().values()) > had, "an answer", node.said)
+            time.sleep(self.rng.uniform(0, 0.25))
+            node.kill()
+            self.ran.kills += 1
+        node.start()
+        self.caller = node.caller()
+        self.last()
+        return self.judge()
+
+    def last(self) -> None:
+        """Every key is asked for once more, and answered."""
+        asked = []
+
+        def ask_all() -> bool:
+            caller = self.caller
+            for key in self.keys[len(asked) :]:
+                one = caller.ask(b"save", b"body " + key, HARD_LIMIT, self.rng, key)
+                if one is None:
+                    return False
+                asked.append(one)
+            return True
+
+        self.on = False
+        wait_until(lambda: self.rig.relays.call(ask_all), "room on the connection", self.node.said)
+        wait_until(
+            lambda: all(each.answers or each.lost for each in asked), "the last answers", self.node.said
+        )
+        self.ran.wrong = "an inquiry was lost" if any(each.lost for each in asked) else None
+
+    def answers(self) -> Counter:
+        found: Counter = Counter()
+        for caller in self.node.callers:
+            for each in list(caller.said):
+                if each.answers:
+                    found[each.answers[0][0]] += 1
+        return found
+
+    def judge(self) -> Ran:
+        ran, engine = self.ran, self.node.engine
+        ran.answers, ran.runs = self.answers(), sum(engine.begun.values())
+        said = [each for caller in self.node.callers for each in caller.said]
+        ran.tries = len(said)
+        for (_, body), count in engine.begun.items():
+            if count > 1:
+                ran.wrong = ran.wrong or f"{body!r} ran {count} times"
+        told: dict[bytes, set[bytes]] = {}
+        for each in said:
+            if len(each.answers) > 1:
+                ran.wrong = ran.wrong or f"{each.ident!r} was answered {len(each.answers)} times"
+            for word, _, result, _ in each.answers:
+                if word == b"200":
+                    told.setdefault(each.body, set()).add(result)
+                    if result not in engine.made.get((b"save", each.body), []):
+                        ran.wrong = (
+                            ran.wrong or f"{each.body!r} was honoured with what no run made: {result!r}"
+                        )
+        for body, results in told.items():
+            if len(results) > 1:
+                ran.wrong = ran.wrong or f"{body!r} was honoured with {results}"
+        return ran
+
+
+def run(seed: int, kills: int = 10, forgets: bool | None = None) -> Ran:
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(Path(folder), voters=0)
+        made = None
+        try:
+            made = Round(rig, seed, kills, seed % 2 == 0 if forgets is None else forgets)
+            return made.play()
+        except AssertionError as wrong:
+            return Ran(seed, wrong=str(wrong))
+        finally:
+            if made is not None:
+                made.on = False
+                made.node.close()
+            rig.close()
+
+
+@click.command()
+@click.option("--kills", default=500, show_default=True)
+@click.option("--first", default=1, show_default=True)
+@click.option(
+    "--each", default=10, show_default=True, help="Kills of one round, with its directory and keys."
+)
+@click.option("--side-by-side", default=4, show_default=True)
+def main(kills: int, first: int, each: int, side_by_side: int) -> None:
+    """Plays rounds of kills, and tells what broke."""
+    total, wrong = Ran(0), []
+    with ProcessPoolExecutor(side_by_side) as pool:
+        for ran in pool.map(run, range(first, first + -(-kills // each)), [each] * -(-kills // each)):
+            total.kills, total.tries, total.runs = (
+                total.kills + ran.kills,
+                total.tries + ran.tries,
+                total.runs + ran.runs,
+            )
+            total.answers += ran.answers
+            if ran.wrong is not None:
+                wrong.append(ran)
+                click.echo(f"seed {ran.seed}: {ran.wrong}")
+    honoured, deferred = total.answers[b"200"], total.answers[b"503"]
+    others = sum(total.answers.values()) - honoured - deferred
+    click.echo(
+        f"{total.kills} kills, {total.tries} tries, {total.runs} runs, {honoured} honoured, "
+        f"{deferred} deferred, {others} given up, {len(wrong)} rounds wrong"
+    )
+    raise SystemExit(1 if wrong else 0)
+
+
+if __name__ == "__main__":
+    main()
