--- /dev/null
+++ b/lichencleat/cli/keyed.py
@@ -0,0 +1,166 @@
+"""`lichencleat keyed`: what a node's directory knows of its receipted inquiries; for a node that is down."""
+
+from __future__ import annotations
+
+import os
+import random
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import click
+import msgspec
+
+from lichencleat.cli import output
+from lichencleat.keyed.book import READ_LATE
+from lichencleat.keyed.records import (
+    ENTRY,
+    FORMAT,
+    SEEN,
+    WHOSE,
+    Entry,
+    State,
+    Whose,
+    decode_entry,
+    decode_seen,
+    decode_whose,
+    encode,
+)
+from lichencleat.store.batch import Batch
+from lichencleat.store.disk import RealDisk
+from lichencleat.store.engine import Engine
+from lichencleat.store.errors import StoreError, UnfitError
+from lichencleat.store.room import Bounds
+
+SECOND = 1_000_000  # µs
+LONGEST = 3600 * SECOND  # a window or a due time beyond it is no entry's
+
+directory = click.argument("directory", metavar="DIR")
+as_json = click.option("--json", "as_json", is_flag=True, help="JSON instead of a table.")
+
+
+def now() -> int:
+    return time.time_ns() // 1000
+
+
+@contextmanager
+def opened(path: str) -> Iterator[Engine]:
+    engine = None
+    try:
+        if not os.path.isdir(path):
+            raise UnfitError(f"{path}: no such directory; name the one of the node's file")
+        engine = Engine.open(RealDisk(path), now, random.Random(os.urandom(16)), Bounds(), False, path)
+        if engine.get(WHOSE) is None and not any(True for _ in engine.scan(b"")):
+            raise UnfitError(f"{path}: no node has used it yet")
+        yield engine
+    except UnfitError as wrong:
+        raise output.WrongInput(f"keyed: {wrong}") from wrong
+    except StoreError as wrong:
+        raise output.WrongData(f"keyed: {wrong}") from wrong
+    finally:
+        if engine is not None:
+            engine.close()
+
+
+def entries(engine: Engine) -> Iterator[tuple[str, Entry | None]]:
+    for key, value in engine.scan(ENTRY):
+        try:
+            yield key[1:].hex(), decode_entry(value)
+        except msgspec.MsgspecError:
+            yield key[1:].hex(), None
+
+
+@click.group("keyed", no_args_is_help=True)
+def group() -> None:
+    """Receipts and results of one node that outlive its restarts."""
+
+
+@group.command("list")
+@directory
+@as_json
+@click.option("--open", "only_open", is_flag=True, help="Only intents without a result.")
+def list_entries(directory: str, as_json: bool, only_open: bool) -> None:
+    """Each key's mark, state, age and what is left of its window by this machine's clock."""
+    with opened(directory) as engine:
+        rows = [
+            [
+                key,
+                State(each.state).name.lower(),
+                each.tariff,
+                (now() - each.arrived) / SECOND,
+                (each.until - now()) / SECOND,
+                len(each.result),
+            ]
+            for key, each in entries(engine)
+            if each is not None and (not only_open or each.state == State.OPEN)
+        ]
+    output.table(["key", "state", "tariff", "age_s", "window_left_s", "result_bytes"], rows, as_json)
+
+
+@group.command()
+@directory
+@as_json
+def show(directory: str, as_json: bool) -> None:
+    """Whose it is, its last sign of life, how many entries of each kind."""
+    with opened(directory) as engine:
+        said, seen = engine.get(WHOSE), engine.get(SEEN)
+        whose = decode_whose(said) if said is not None else Whose(0, "", 0)
+        known = [each for _, each in entries(engine) if each is not None]
+        stat = engine.stat()
+    pairs = {
+        "node": whose.node,
+        "format": whose.format,
+        "last_sign_s_ago": round((now() - decode_seen(seen)) / SECOND, 3) if seen is not None else None,
+        "entries": len(known),
+        "without_result": sum(each.state == State.OPEN for each in known),
+        "ran_to_nothing": sum(each.state == State.FAILED for each in known),
+        "past_their_window": sum(each.until + READ_LATE < now() for each in known),
+        "result_bytes": sum(len(each.result) for each in known),
+    }
+    output.pairs(
+        {**pairs, **{f"store_{name.replace(' ', '_')}": value for name, value in stat.items()}}, as_json
+    )
+
+
+@group.command()
+@directory
+def check(directory: str) -> None:
+    """What cannot be: entries unreadable, windows or due times that no node writes. Exit code 1 on any."""
+    found = []
+    with opened(directory) as engine:
+        said = engine.get(WHOSE)
+        if said is None:
+            found.append("it says of no node")
+        elif decode_whose(said).format != FORMAT:
+            found.append(f"format {decode_whose(said).format}, and this program's is {FORMAT}")
+        count = 0
+        for key, each in entries(engine):
+            count += 1
+            if each is None or each.state not in list(State):
+                found.append(f"{key}: unreadable")
+            elif not (0 <= each.until - each.arrived <= LONGEST and 0 <= each.due - each.arrived <= LONGEST):
+                found.append(f"{key}: window or due time out of range")
+            elif each.result and each.state != State.DONE:
+                found.append(f"{key}: a result of a run that made none")
+    for each in found:
+        click.echo(each)
+    click.echo(f"{count} entries, {len(found)} wrong")
+    raise click.exceptions.Exit(output.WRONG_DATA if found else 0)
+
+
+@group.command()
+@directory
+def adopt(directory: str) -> None:
+    """Take on a directory that was moved here whole.
+
+    Wrong for an older copy: what ran since then would run again.
+    """
+    with opened(directory) as engine:
+        said = engine.get(WHOSE)
+        if said is None:
+            raise output.WrongInput(f"keyed: {directory}: it says of no node, so nothing is to be taken on")
+        whose = msgspec.structs.replace(decode_whose(said), place=os.stat(directory).st_ino)
+        (wrong,) = engine.commit([Batch().put(WHOSE, encode(whose))])
+        if wrong is not None:
+            raise wrong
+    click.echo(f"{directory}: taken on for the node {whose.node!r}")
--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -12,6 +12,7 @@
 NOUNS = {
     "config": ("lichencleat.cli.chosen", "The operators' file: check it, show what is in force."),
     "flows": ("lichencleat.cli.flows", "Flow export: a collector that adds up who sent what."),
+    "keyed": ("lichencleat.cli.keyed", "Receipts and results of a node that outlive its restarts."),
     "logs": ("lichencleat.cli.logs", "Logs of many processes, in one order."),
     "members": ("lichencleat.cli.members", "Who is there, among many instances."),
     "owners": ("lichencleat.cli.owners", "Jobs of the fleet, each done by one process at a time."),
--- /dev/null
+++ b/tests/keyed/test_kills.py
@@ -0,0 +1,56 @@
+"""A few kills of the real node; the full length is `python -m tests.keyed.kills`."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from keyed.kills import run
+
+from lichencleat.lab.rig.nodes import RigNode, settings
+from lichencleat.lab.rig.rig import Rig
+
+
+@pytest.mark.parametrize("forgets", [False, True])
+def test_kills_under_repeated_keys_run_none_twice(forgets):
+    ran = run(2 if forgets else 1, kills=4, forgets=forgets)
+    assert ran.wrong is None and ran.kills == 4
+    assert ran.answers[b"200"] > 40 and ran.runs <= 40
+
+
+def test_two_nodes_on_one_directory_and_another_s_are_refused_and_the_commands_show_it(tmp_path):
+    rig = Rig(tmp_path, voters=0)
+    nodes = []
+    try:
+        directory = str(tmp_path / "keyed")
+        chosen = {"keyed": {"directory": directory}}
+        for name in ("n1", "n2"):
+            nodes.append(RigNode(rig, name, chosen, None, settings()))
+        nodes[0].start()
+        rig.until(lambda: "the book stands" in nodes[0].said(), "the book")
+        nodes[1].start()
+        assert nodes[1].ended() == 2 and "can't start: keyed.directory" in nodes[1].said()
+        nodes[0].signal(15)
+        assert nodes[0].ended() == 0
+        nodes[1].start()
+        assert nodes[1].ended() == 2 and "is the node 'n1'" in nodes[1].said()
+
+        def command(*words):
+            made = subprocess.run(
+                [sys.executable, "-m", "lichencleat", "keyed", *words],
+                cwd=Path(__file__).resolve().parents[2],
+                capture_output=True,
+                text=True,
+                timeout=20,
+            )
+            return made.returncode, made.stdout + made.stderr
+
+        assert command("check", directory)[0] == 0
+        code, said = command("show", directory, "--json")
+        assert code == 0 and '"node": "n1"' in said
+        assert command("list", directory)[0] == 0
+        assert command("list", str(tmp_path / "nothing"))[0] == 2
+    finally:
+        for each in nodes:
+            each.close()
+        rig.close()
