--- a/lichencleat/keyed/keeper.py
+++ b/lichencleat/keyed/keeper.py
@@ -130,7 +130,7 @@
             chunk = yield store.chunk(snapshot, cursor, ENTRY, CHUNK)
             if not chunk:
                 break
-            late = [key for key, value in chunk if not self.recovers(key[1:], value, seen_at, now)]
+            late = [key for key, value in chunk if not self.recovers(key, value, seen_at, now)]
             if late:
                 self.write(self.deletes(late)).addErrback(lambda failure: None)
             cursor = chunk[-1][0] + b"\0"
@@ -233,7 +233,7 @@
             self.trouble(failure)
             self.deadlines.after(0, self.host.end_share, case, None)
 
-        self.store.get(ENTRY + key).addCallbacks(got, not_read)
+        self.store.get(key).addCallbacks(got, not_read)
 
     # -- one key's life --------------------------------------------------------------------------------
 
@@ -246,7 +246,7 @@
         self.entries[inquiry] = key, entry
         start = self.waits.starts[inquiry] = Start(case, self.deadlines.now())
         self.book.take(key, entry)
-        self.write(Batch().put(ENTRY + key, encode(entry))).addCallbacks(
+        self.write(Batch().put(key, encode(entry))).addCallbacks(
             self.intended, self.not_intended, callbackArgs=(start,), errbackArgs=(start,)
         )
         self.tell_able()
@@ -297,7 +297,7 @@
         if known is not None:
             key = known[0]
             self.book.drop(key)
-            self.write(Batch().delete(ENTRY + key)).addErrback(lambda failure: None)
+            self.write(Batch().delete(key)).addErrback(lambda failure: None)
             self.tell_able()
 
     def strikes(self, inquiry: Inquiry) -> None:
@@ -327,7 +327,7 @@
             if len(self.unwritten) < UNWRITTEN_MOST:
                 self.unwritten[key] = entry
 
-        return self.write(Batch().put(ENTRY + key, encode(entry))).addErrback(not_taken)
+        return self.write(Batch().put(key, encode(entry))).addErrback(not_taken)
 
     def write_again(self) -> None:
         """The disk works again: results that it refused, while nothing newer is known of their keys."""
@@ -446,7 +446,7 @@
             if self.whose is not None:
                 batch.put(WHOSE, self.whose)
             for key in self.book.over(self.clock()):
-                batch.delete(ENTRY + key)
+                batch.delete(key)
             self.write(batch).addCallbacks(self.has_beaten, lambda failure: None)
         for key in self.book.out_of_time(self.clock()):
             self.end_shares(key, None)
--- a/lichencleat/keyed/records.py
+++ b/lichencleat/keyed/records.py
@@ -45,8 +45,11 @@
 
 
 def mark(key: bytes) -> bytes:
-    """Of a caller's key, whatever its length. A quick hash would let a hostile caller make two keys meet."""
-    return blake2b(key, digest_size=MARK).digest()
+    """Where a caller's key, whatever its length, stands in the store and in the book.
+
+    A quick hash would let a hostile caller make two keys meet.
+    """
+    return ENTRY + blake2b(key, digest_size=MARK).digest()
 
 
 def encode_seen(now: int) -> bytes:
