--- a/tests/fleet/shares_drawn.py
+++ b/tests/fleet/shares_drawn.py
@@ -1,8 +1,8 @@
 """Real nodes that share a dependency, through drawn faults: `python -m tests.fleet.shares_drawn --seeds 100`.
 
-Three voters, four nodes that are candidates too, each under load; faults drawn by the seed, some at once; then
-all is healed. Judged: the dependency never has more in hand than the limit, nothing is answered twice, and
-every node works again.
+Three voters, four nodes that are candidates too, each under load; faults drawn by the seed, some at once; in
+the end all is healed. Judged: the dependency never has more in hand than the limit, nothing is answered
+twice, and every node works again.
 """
 
 from __future__ import annotations
--- a/tests/keyed/test_keyed.py
+++ b/tests/keyed/test_keyed.py
@@ -6,6 +6,7 @@
 from tests_keyed_life import Life, World
 
 from lichencleat.keyed.book import ENTRY_COST, LATE, READ_LATE, Book, Told
+from lichencleat.keyed.keeper import PARKED_MOST
 from lichencleat.keyed.records import Entry, State
 from lichencleat.lab.explore_keyed import MISTAKES, play
 from lichencleat.lab.explore_keyed import World as Explored
@@ -204,6 +205,58 @@
     assert late.answers[5][0] == "given up"
 
 
+def test_a_storm_of_repeats_during_the_start_waits_within_bounds_and_begins_nothing():
+    """10,000 repeats of 200 keys, all of which ran before the cut."""
+    life = Life(World())
+    life.start()
+    for number in range(200):
+        life.ask(number, key=b"%d" % number)
+    for _ in range(60):  # the node runs a few at a time, and defers what is too much for it
+        life.disk_works(), life.run_ends(10), life.advance(0.1)
+    ran = {each[2] for each in life.world.runs}
+    again = life.cut()
+    again.start(stand=False)
+    for number in range(10_000):
+        again.ask(number, key=b"%d" % (number % 200))
+    assert len(again.keeper.waits.parked) == PARKED_MOST
+    assert len(again.answers) == 10_000 - PARKED_MOST and len(life.world.runs) == len(ran)
+    again.advance(1.0)
+    again.stand()
+    for _ in range(40):
+        again.disk_works(), again.run_ends(10), again.advance(0.1)
+    assert len(again.answers) == 10_000
+    assert len({each[2] for each in life.world.runs}) == len(life.world.runs) >= len(ran)
+
+
+def test_a_storm_of_new_keys_at_the_bound_is_deferred_before_anything_runs():
+    life = Life(World(), entries=3)
+    life.start()
+    for number in range(8):
+        life.ask(number, key=b"%d" % number)
+        life.disk_works(), life.run_ends(), life.disk_works()
+    assert [life.answers[number][0] for number in range(8)] == ["honoured"] * 3 + ["deferred"] * 5
+    life.ask(10, key=b"0")
+    assert life.answers[10] == life.answers[0]  # what is known stays
+    life.advance(45), life.disk_works(), life.advance(1.1), life.disk_works()
+    life.ask(11, key=b"9"), life.disk_works(), life.run_ends(), life.disk_works()
+    assert life.answers[11][0] == "honoured"  # the windows are over
+
+
+def test_a_drain_with_intents_unconfirmed_answers_in_time_and_leaves_no_trace():
+    life = Life(World())
+    life.start()
+    life.ask(1)
+    life.host.must_leave(life.clock() + 3 * SECOND)
+    life.advance(2.5)
+    assert life.answers[1][0] in ("deferred", "given up") and life.world.runs == []
+    life.disk_works()
+    assert life.host.owed() == 0 and life.keeper.waits.starts == {}
+    again = life.cut()
+    again.start()
+    again.ask(2), again.disk_works(), again.run_ends(), again.disk_works()
+    assert again.answers[2][0] == "honoured" and len(life.world.runs) == 1
+
+
 @pytest.mark.parametrize("what", ["cut", "cut after", "errno"])
 def test_a_cut_or_an_error_at_each_call_of_the_disk_runs_no_key_twice(what):
     """The life: asked, run, asked again; a cut somewhere; the next life is asked as well."""
--- a/tests/keyed/tests_keyed_life.py
+++ b/tests/keyed/tests_keyed_life.py
@@ -84,8 +84,8 @@
 
 
 class Life:
-    def __init__(self, world, name="n1", place=7):
-        self.world, self.name, self.place = world, name, place
+    def __init__(self, world, name="n1", place=7, entries=1_000):
+        self.world, self.name, self.place, self.entries = world, name, place, entries
         self.answers, self.cases, self.refused = {}, {}, ""
         self.reactor = world.reactor
 
@@ -101,7 +101,7 @@
         machine = Machine(cores=2, crowd=8.0, memory_kb=1e6, advice_most=SECOND, tariffs=[LOOK, SAVE])
         self.host = Host(machine, [], "1", self.clock, self.deadlines, self.interpreter, None, self.report)
         self.host.able = False
-        book = Book(1_000, 1 << 20)
+        book = Book(self.entries, 1 << 20)
         self.keeper = self.host.keyed = Keeper(
             self.name, self.host, self.deadlines, self.report, self.clock, book
         )
