--- a/lichencleat/chosen/file.py
+++ b/lichencleat/chosen/file.py
@@ -70,6 +70,7 @@
     zone: str = ""
     candidate: bool = False  # it may own jobs of the fleet
     shares: SharesChoice | None = None
+    revive: bool = False  # it takes part in the fleet's return after a power loss
 
 
 class KeyedChoice(Struct, forbid_unknown_fields=True, frozen=True):
--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -11,6 +11,7 @@
 
 NOUNS = {
     "config": ("lichencleat.cli.chosen", "The operators' file: check it, show what is in force."),
+    "fleet": ("lichencleat.cli.fleet", "All nodes: how far each is open; a return after a power loss."),
     "flows": ("lichencleat.cli.flows", "Flow export: a collector that adds up who sent what."),
     "keyed": ("lichencleat.cli.keyed", "Receipts and results of a node that outlive its restarts."),
     "logs": ("lichencleat.cli.logs", "Logs of many processes, in one order."),
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -128,6 +128,7 @@
         self.to_stop: dict[Inquiry, None] = {}
         self.receipts: dict[Inquiry, int] = {}  # until when each entry lives
         self.able_to_record = True
+        self.open_share = 1.0  # of the arrivals: less while the fleet returns
         self.unrun = False  # some inquiry ended without a run since the receipts were looked through
         # what is known
         self.gauges = Gauges()
@@ -182,6 +183,9 @@
     def may_record(self, now: int, able: bool) -> None:
         self.able_to_record = able
 
+    def may_serve(self, now: int, share: float) -> None:
+        self.open_share = share
+
     def not_recorded(self, now: int, inquiry: Inquiry) -> None:
         """Its entry could not be made, so it was not begun."""
         self.receipts.pop(inquiry, None)
@@ -454,8 +458,15 @@
             if inquiry.repeats or inquiry.repeats_unknown:
                 self.move(inquiry, self.held, State.HELD)
                 continue
+            shut = self.open_share < 1 and self.chance.random() >= self.open_share
             no_use = inquiry.due <= now + self.guard or self.too_late(now, inquiry, len(self.held))
-            if no_use or not self.may_run(inquiry) or self.stalled(now) or self.used_kb() > self.memory_kb:
+            if (
+                shut
+                or no_use
+                or not self.may_run(inquiry)
+                or self.stalled(now)
+                or self.used_kb() > self.memory_kb
+            ):
                 yield self.defer(now, inquiry)
                 continue
             if self.full():
@@ -631,6 +642,8 @@
         self.deferred_lately += 1
         self.judged.append(True)
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
+        if self.open_share < 1:  # drawn over the span: those that come back at once would be a herd
+            span, alone = int(self.advice_most * (1 + 3 * self.chance.random()) / 4), True
         return Decision(Act.DEFER, inquiry, span=span, flag=not (alone or self.sends_on()))
 
     def give_up(self, inquiry: Inquiry) -> Decision:
--- a/lichencleat/keyed/assembly.py
+++ b/lichencleat/keyed/assembly.py
@@ -57,6 +57,6 @@
         raise CantStartError(f"{where}: {wrong}") from wrong
     try:
         yield keeper.start(store, os.stat(chosen.directory).st_ino)
-    except (NotOursError, StoreError) as wrong:
+    except (NotOursError, StoreError, ValueError) as wrong:
         yield store.close()
         raise CantStartError(f"{where}: {wrong}") from wrong
--- a/lichencleat/keyed/keeper.py
+++ b/lichencleat/keyed/keeper.py
@@ -113,6 +113,9 @@
         self.looking = False
         self.whose: bytes | None = None  # to be written with the next sign of life
         self.closed = False
+        # what else stands in the store: told of it at the start, asked for a record with each sign of life
+        self.opened: list[Callable[[Callable[[bytes], bytes | None]], None]] = []
+        self.signs: list[Callable[[bool], tuple[bytes, bytes]]] = []
 
     # -- starting --------------------------------------------------------------------------------------
 
@@ -121,6 +124,8 @@
         """Reads the book; the node serves meanwhile. Fails with NotOursError before anything is written."""
         self.store = store
         self.check_whose(store, place)
+        for each in self.opened:
+            each(store.engine.get)
         seen = store.engine.get(SEEN)
         now = self.clock()
         seen_at = decode_seen(seen) if seen is not None else now
@@ -442,7 +447,7 @@
         if self.closed:
             return
         if not self.waits.writes:  # behind others it would only wait
-            batch = Batch().put(SEEN, encode_seen(self.clock()))
+            batch = self.sign(False)
             if self.whose is not None:
                 batch.put(WHOSE, self.whose)
             for key in self.book.over(self.clock()):
@@ -453,6 +458,12 @@
         self.tell_able()
         self.deadlines.after(BEAT, self.beat)
 
+    def sign(self, ends: bool) -> Batch:
+        batch = Batch().put(SEEN, encode_seen(self.clock()))
+        for each in self.signs:
+            batch.put(*each(ends))
+        return batch
+
     def has_beaten(self, _: Any) -> None:
         self.whose = None
 
@@ -472,7 +483,7 @@
             told.callback(None)
             return told
         if self.book.stands and not self.failing:
-            self.write(Batch().put(SEEN, encode_seen(self.clock()))).addErrback(lambda failure: None)
+            self.write(self.sign(True)).addErrback(lambda failure: None)
         return self.store.close()
 
     def beliefs(self) -> str:
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -63,13 +63,6 @@
             self.flows = Flows(reactor, clock, self.deadlines, self.report, told.seed, chosen.flows)
             if chosen.flows.links:
                 self.interpreter.wrap = self.catalogue.wrap = self.flows.metered
-        self.fleet: Any = None
-        if chosen is not None and chosen.fleet is not None:
-            from lichencleat.shares.seat import FleetNode  # off means not imported: memory counts
-
-            self.fleet = FleetNode(
-                reactor, told.name, chosen.fleet, self.host, Random(os.urandom(16)), self.report.events()
-            )
         self.keyed: Any = None
         self.chosen = chosen
         if chosen is not None and chosen.keyed is not None:
@@ -77,6 +70,14 @@
 
             self.keyed = self.host.keyed = make_keeper(self, told.name, chosen.keyed, clock)
             self.host.able = False
+        self.fleet: Any = None
+        if chosen is not None and chosen.fleet is not None:
+            from lichencleat.net.fleet import FleetNode  # off means not imported: memory counts
+
+            rng, events = Random(os.urandom(16)), self.report.events()
+            self.fleet = FleetNode(
+                reactor, told.name, chosen.fleet, self.host, self.keyed, unix_time, rng, events
+            )
         self.dispatchers = Dispatchers(
             self.host, self.deadlines, self.report, told.descriptors, told.tenants, self.flows
         )
--- /dev/null
+++ b/lichencleat/net/fleet.py
@@ -0,0 +1,126 @@
+"""A node among others that agree through voters: its seat in a pool, its part in a return, its jobs.
+
+Puts together what `shares/`, `revive/` and `owners/` make; decides nothing. Imported only where the
+operators' file names a fleet.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+
+from lichencleat.chosen.file import FleetChoice, host_port
+from lichencleat.owners.holder import Holder, Work
+from lichencleat.quorum.client import Client
+from lichencleat.revive.boot import Clock
+from lichencleat.revive.seat import Planning, Record, Return
+from lichencleat.revive.waking import Waking
+from lichencleat.shares.grants import Grants
+from lichencleat.shares.seat import Dealing, Seat
+
+SECOND = 1_000_000  # µs
+
+
+class Works:
+    """A `holder.Work` that hands each job to those that know it."""
+
+    def __init__(self, works: list[Work]) -> None:
+        self.works = works
+
+    def begins(self, job: str, token: int) -> None:
+        for each in self.works:
+            each.begins(job, token)
+
+    def ends(self, job: str, reason: str) -> None:
+        for each in self.works:
+            each.ends(job, reason)
+
+
+class FleetNode:
+    """Owns the clients and what talks through them; all are given back in `stop`."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        chosen: FleetChoice,
+        host: Any,
+        keyed: Any,
+        unix: Callable[[], int],
+        rng: random.Random,
+        log: Any,
+    ) -> None:
+        """`host`: as net.host.Host; `keyed`: as keyed.keeper.Keeper, or None."""
+        self.reactor, self.name, self.chosen, self.rng, self.log = reactor, name, chosen, rng, log
+        self.clients: list[Client] = []
+        self.seat = self.make_seat(host) if chosen.shares is not None else None
+        self.back = self.make_return(host, keyed, unix) if chosen.revive else None
+        self.holder = self.make_holder() if chosen.candidate else None
+
+    def client(self) -> Client:
+        addresses = [host_port(each) for each in self.chosen.members]
+        made = Client(self.reactor, self.chosen.group, addresses, self.rng, self.name)
+        self.clients.append(made)
+        return made
+
+    def now(self) -> int:
+        return int(self.reactor.seconds() * SECOND)
+
+    def make_seat(self, host: Any) -> Seat:
+        shares, life = self.chosen.shares, self.rng.getrandbits(48)
+        assert shares is not None
+        term = round(shares.term_s * SECOND)
+        grants = Grants(shares.pool, self.name, life, shares.floor, term, self.now())
+        seat = Seat(self.reactor, self.client(), grants, host.calls_wanted, host.may_call, self.log)
+        host.call_span = seat.span
+        return seat
+
+    def make_return(self, host: Any, keyed: Any, unix: Callable[[], int]) -> Return:
+        record = Record(self.chosen.group, unix)
+        life = self.rng.getrandbits(48)
+        waking = Waking(self.name, self.chosen.zone, life, False, 0, Clock.PLAUSIBLE, self.now())
+        waking.wants_proof = keyed is not None
+        if keyed is not None:
+            keyed.opened.append(record.opened)
+            keyed.signs.append(record.sign)
+        host.may_serve(0.0, False)  # until there is a word, or a reason to go on without
+        proof = (lambda: keyed.book.stands) if keyed is not None else (lambda: False)
+        return Return(self.reactor, self.client(), host, waking, record, proof, unix, self.log)
+
+    def make_holder(self) -> Holder:
+        works: list[Any] = []
+        if self.chosen.shares is not None:
+            works.append(Dealing(self.reactor, self.client(), self.chosen.shares.pool, self.log))
+        if self.chosen.revive:
+            works.append(Planning(self.reactor, self.client(), self.log))
+        zone = self.chosen.zone
+        holder = Holder(self.reactor, self.client(), self.name, zone, Works(works), self.rng, self.log)
+        for each in works:
+            each.holder = holder
+        return holder
+
+    def start(self) -> None:
+        for each in (self.seat, self.back, self.holder):
+            if each is not None:
+                each.start()
+
+    def leave(self) -> Deferred[None]:
+        """At a drain: its jobs go at once, the seat stays until the end, as calls may be under way."""
+        if self.back is not None:
+            self.back.leave()
+        return self.holder.leave() if self.holder is not None else succeed(None)
+
+    def stop(self) -> None:
+        for each in (self.seat, self.back):
+            if each is not None:
+                each.stop()
+        for client in self.clients:
+            client.close()
+
+    def beliefs(self) -> str:
+        said = [each.beliefs() for each in (self.seat, self.back) if each is not None]
+        jobs = ", ".join(sorted(self.holder.leases.held)) if self.holder is not None else ""
+        return "; ".join(said + ([f"owns {jobs}"] if jobs else [])) or "alone"
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -24,6 +24,7 @@
 from lichencleat.terms import Act, Decision, Effect, Gauges, Inquiry, Machine, Outcome, State
 
 GAUGES_WAIT = 40_000  # µs for the gauges at a wake-up: well under its period, and far over a usual answer
+STRAIN_CALLS, STRAIN_FAILED = 16, 6.0  # last calls, and strain for all of them failed: few are told early
 AFTER_ERROR = 50_000  # µs to the next round after one that failed
 
 
@@ -100,7 +101,8 @@
         self.calls_granted: int | None = None  # None: nobody deals them out
         self.call_span: Callable[[int], int] = lambda span: span  # shortened where a grant ends before
         self.keyed: Any = None  # as keyed.keeper.Keeper, where receipts outlive a restart
-        self.able = True  # to record receipted inquiries
+        self.able = self.trusted = True  # to record receipted inquiries; both have to hold
+        self.open_share = 1.0
         self.carries_out = {
             Act.START: self.start_run,
             Act.STOP: self.stop_run,
@@ -126,7 +128,8 @@
         self.node = Node(self.machine, random.Random(self.seed))
         if self.calls_granted is not None:
             self.node.may_call(self.clock(), self.calls_granted)
-        self.node.may_record(self.clock(), self.able)
+        self.node.may_record(self.clock(), self.able and self.trusted)
+        self.node.may_serve(self.clock(), self.open_share)
         if self.leaves_at is not None:
             self.node.must_leave(self.clock(), self.leaves_at)
         self.stir()
@@ -318,9 +321,33 @@
     def may_record(self, able: bool) -> None:
         self.able = able
         if self.node is not None:
-            self.node.may_record(self.clock(), able)
+            self.node.may_record(self.clock(), self.able and self.trusted)
             self.stir()
 
+    def may_serve(self, share: float, receipted: bool) -> None:
+        """As the fleet says, or this node by itself: so much of what comes, and whether what is receipted."""
+        self.open_share, self.trusted = share, receipted
+        if self.node is not None:
+            self.node.may_serve(self.clock(), share)
+            self.may_record(self.able)
+
+    def ready(self) -> bool:
+        return self.node is not None and self.interpreter.link is not None
+
+    def strain(self) -> float:
+        """0: idle; 0.5: all it can do; above 1: it fails at it. Each of the last calls that failed adds."""
+        node = self.node
+        if node is None or not node.healthy:
+            return 2.0
+        last = [well for _, well in node.call_times][-STRAIN_CALLS:]
+        failed = last.count(False) / len(last) if len(last) == STRAIN_CALLS else 0.0
+        return 0.5 * min(1.0, len(node.running) / max(1.0, node.limit)) + STRAIN_FAILED * failed
+
+    def speed(self) -> float:
+        """Runs a second and core, as the last ones went; 1 where none did."""
+        usual = self.node.usual_run() if self.node is not None else 0.0
+        return 1_000_000 / usual if usual else 1.0
+
     def not_begun(self, case: Case) -> None:
         """Its entry could not be made: nothing was begun, and the decisions are asked again."""
         case.unsettled = False
--- a/lichencleat/owners/jobs.py
+++ b/lichencleat/owners/jobs.py
@@ -99,6 +99,11 @@
         yours = {job: each.token for job, each in self.jobs.items() if each.owner == name}
         return Owned(yours, [job for job in yours if self.jobs[job].wanted not in ("", name)])
 
+    def is_owner(self, job: str, token: int) -> bool:
+        """Is that the newest token of a job that somebody owns?"""
+        known = self.jobs.get(job)
+        return known is not None and bool(known.owner) and known.token == token
+
     def forget(self, name: str) -> None:
         del self.candidates[name]
         for job in self.jobs.values():
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -22,6 +22,7 @@
 from lichencleat.quorum.process import IDENTITY, Identity, Process, wake_up
 from lichencleat.quorum.state import Part, State, founded
 from lichencleat.quorum.terms import Group, Member
+from lichencleat.revive.state import Fleet
 from lichencleat.shares.pools import Pools
 from lichencleat.store.disk import Disk, RealDisk
 from lichencleat.store.engine import Engine
@@ -72,7 +73,7 @@
 def parts() -> dict[str, Part]:
     """What the group decides on; the same at each member."""
     jobs = Jobs()
-    return {"facts": Facts(), "owners": jobs, "shares": Pools(jobs)}
+    return {"facts": Facts(), "owners": jobs, "shares": Pools(jobs), "revive": Fleet(jobs)}
 
 
 class ExpiryTender:
--- a/lichencleat/shares/deal.py
+++ b/lichencleat/shares/deal.py
@@ -14,12 +14,12 @@
 
 
 def targets(pool: Pool) -> dict[str, int]:
-    """For every seat. Their sum and the floors of empty seats stay within the limit."""
+    """For every seat. Their sum and the floors of empty seats stay within the limit, or the part of it."""
     names = sorted(pool.seats)
     if not names:
         return {}
     empty = max(0, pool.nodes - len(names))
-    room = pool.limit - pool.floor * (empty + len(names))
+    room = int((pool.limit - pool.floor * (empty + len(names))) * pool.part)
     wants = {name: max(0, pool.seats[name].need - pool.floor) for name in names}
     given = fair(wants, max(0, room), {name: pool.seats[name].target for name in names})
     left = room - sum(given.values())
--- a/lichencleat/shares/pools.py
+++ b/lichencleat/shares/pools.py
@@ -15,6 +15,7 @@
     LIMIT_MOST,
     NODES_MOST,
     POOLS_MOST,
+    RETURN,
     Ask,
     Command,
     Deal,
@@ -24,6 +25,7 @@
     Forget,
     Granted,
     Over,
+    Part,
     Pool,
     Seat,
     job_of,
@@ -57,6 +59,8 @@
             return self.ask(index, what)
         if isinstance(what, Define):
             return self.define(what)
+        if isinstance(what, Part):
+            return self.deal_part(what)
         pool = self.pools.get(what.pool)
         if pool is None:
             return Done(False, "no such pool")
@@ -70,8 +74,14 @@
 
     def is_owner(self, what: Deal | Over) -> bool:
         """Guards against an owner that was stopped for leases and goes on where it was."""
-        job = self.jobs.jobs.get(job_of(what.pool))
-        return job is not None and bool(job.owner) and job.token == what.token
+        return self.jobs.is_owner(job_of(what.pool), what.token)
+
+    def deal_part(self, what: Part) -> Done:
+        if not self.jobs.is_owner(RETURN, what.token):
+            return Done(False, "an older owner's")
+        for pool in self.pools.values():
+            pool.part = min(1.0, max(0.0, what.part))
+        return Done(True)
 
     def define(self, what: Define) -> Done:
         if not (0 < what.limit <= LIMIT_MOST and 0 < what.nodes <= NODES_MOST and what.floor >= 0):
@@ -102,6 +112,8 @@
     # -- nodes -----------------------------------------------------------------------------------------
 
     def ask(self, index: int, what: Ask) -> Granted:
+        if isinstance(what, Part):
+            return self.deal_part(what)
         pool = self.pools.get(what.pool)
         if pool is None:
             return Granted(0, 0, refused="no such pool")
--- a/lichencleat/shares/seat.py
+++ b/lichencleat/shares/seat.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
-from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
-from lichencleat.chosen.file import FleetChoice, host_port
 from lichencleat.owners.holder import Holder
 from lichencleat.quorum.client import Client
 from lichencleat.shares.dealer import LOOK, Dealer
@@ -174,71 +171,3 @@
             lambda done: done and done[0] or self.log.info("not dealt", pool=self.pool, reason=str(done)),
             lambda failure: self.log.warning("not dealt", pool=self.pool, reason=failure.getErrorMessage()),
         )
-
-
-class FleetNode:
-    """What a node of the fleet does besides serving: its seat, and being a candidate where it may be one."""
-
-    def __init__(
-        self,
-        reactor: Any,
-        name: str,
-        chosen: FleetChoice,
-        host: Any,
-        rng: random.Random,
-        log: Any,
-    ) -> None:
-        """`host`: as net.host.Host; it is told how many calls it may have out, and asked how many are."""
-
-        def client() -> Client:
-            return Client(reactor, chosen.group, [host_port(each) for each in chosen.members], rng, name)
-
-        self.clients = [client()]
-        self.seat: Seat | None = None
-        self.holder: Holder | None = None
-        shares = chosen.shares
-        if shares is not None:
-            grants = Grants(
-                shares.pool,
-                name,
-                rng.getrandbits(48),
-                shares.floor,
-                round(shares.term_s * SECOND),
-                int(reactor.seconds() * SECOND),
-            )
-            self.seat = Seat(reactor, self.clients[0], grants, host.calls_wanted, host.may_call, log)
-            host.call_span = self.seat.span
-        if chosen.candidate:
-            self.clients += [client(), client()]
-            work = Dealing(reactor, self.clients[2], shares.pool, log) if shares is not None else Idle()
-            self.holder = Holder(reactor, self.clients[1], name, chosen.zone, work, rng, log)
-            if isinstance(work, Dealing):
-                work.holder = self.holder
-
-    def start(self) -> None:
-        for each in (self.seat, self.holder):
-            if each is not None:
-                each.start()
-
-    def leave(self) -> Deferred[None]:
-        """At a drain: its jobs go at once, the seat stays until the end, as calls may be under way."""
-        return self.holder.leave() if self.holder is not None else succeed(None)
-
-    def stop(self) -> None:
-        if self.seat is not None:
-            self.seat.stop()
-        for each in self.clients:
-            each.close()
-
-    def beliefs(self) -> str:
-        seat = self.seat.beliefs() if self.seat is not None else "no seat"
-        jobs = ", ".join(sorted(self.holder.leases.held)) if self.holder is not None else ""
-        return seat + (f", owns {jobs}" if jobs else "")
-
-
-class Idle:
-    """A candidate with nothing to do."""
-
-    def begins(self, job: str, token: int) -> None: ...
-
-    def ends(self, job: str, reason: str) -> None: ...
--- a/lichencleat/shares/terms.py
+++ b/lichencleat/shares/terms.py
@@ -32,6 +32,7 @@
     term: int  # µs
     token: int = 0  # of the owner whose deal came last
     seats: dict[str, Seat] = {}
+    part: float = 1.0  # of the limit beyond all floors that is dealt now: less while the fleet returns
 
 
 class Define(msgspec.Struct, frozen=True, array_like=True, tag="define"):
@@ -83,7 +84,15 @@
     renewed: int
 
 
-Command = Define | Drop | Forget | Ask | Deal | Over
+class Part(msgspec.Struct, frozen=True, array_like=True, tag="part"):
+    """Of whoever brings the fleet back: so much of every pool may be dealt for now."""
+
+    token: int  # of the job RETURN
+    part: float
+
+
+RETURN = "revive"  # the job of the fleet whose owner may say so
+Command = Define | Drop | Forget | Ask | Deal | Over | Part
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True):
