--- a/tests/fleet/revive.py
+++ b/tests/fleet/revive.py
@@ -1,10 +1,10 @@
 """Power losses of a whole fleet of real processes: `python -m tests.fleet.revive --seeds 200`.
 
-Three voters, eight nodes in two zones with receipts on held-back disks, engines and one dependency that outlive
-the cut, callers that ask again and again. Power goes for all, a zone, all twice; links are cut while they
-return. Judged: no receipted inquiry runs twice on a node, nothing is honoured that no run made, nothing is
-answered twice, the dependency never has more than its limit; and every node is open again, or the fleet says
-what it waits for.
+Three voters, eight nodes in two zones with receipts on held-back disks, engines and one dependency that
+outlive the cut, callers that ask again and again. Power goes for all, a zone, all twice; links are cut while
+they return. Judged: no receipted inquiry runs twice on a node, nothing is honoured that no run made, nothing
+is answered twice, the dependency never has more than its limit; and every node is open again, or the fleet
+says what it waits for.
 """
 
 from __future__ import annotations
