--- /dev/null
+++ b/lichencleat/lab/explore_revive.py
@@ -0,0 +1,429 @@
+"""Two nodes, their grants, receipts and clocks through cuts and returns in all orders; the real decisions.
+
+`python -m lichencleat.lab.explore_revive` says how far all was tried, and that planted mistakes are caught.
+The log is one order, as voters make it (`explore_quorum.py` is about those); what goes to it and back may be
+lost, late, or of an owner that is none any more.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import click
+import msgspec
+
+from lichencleat.keyed.book import Book, Told
+from lichencleat.keyed.records import Entry, State
+from lichencleat.lab.explore import Explored, explore
+from lichencleat.owners.jobs import Jobs
+from lichencleat.owners.terms import Define as DefineJob
+from lichencleat.owners.terms import Gone, Renew
+from lichencleat.revive.boot import Clock
+from lichencleat.revive.state import Fleet
+from lichencleat.revive.terms import JOB, Door, NewEpoch, Plan, Report, Wave
+from lichencleat.revive.waking import Waking
+from lichencleat.shares.dealer import Dealer
+from lichencleat.shares.grants import Grants
+from lichencleat.shares.pools import Pools, reserved
+from lichencleat.shares.terms import Ask, Define, Granted, job_of
+
+POOL, LIMIT, FLOOR, TERM = "p", 3, 1, 1_000_000
+TICK = TERM // 2  # µs: one step of time
+KEY, BODY, WINDOW = b"k" * 17, b"b" * 16, 16_000_000  # µs: longer than any history
+NAMES = ("a", "b")
+TICKS, CUTS, OWNERS, ASKS, STALE = 5, 2, 1, 7, 1  # bounds of the setting
+HOUR = 3_600_000_000  # µs by which the clock of node b is ahead after its first cut
+
+
+@dataclass
+class Node:
+    """One process, or what it left: its calls below, its disk."""
+
+    up: bool = False
+    life: int = 0
+    grants: Grants | None = None
+    flying: Granted | None = None  # an answer on its way
+    out: tuple[int, ...] = ()  # ends of its calls, also of lives before
+    mine: int = 0  # of them, of this life
+    waking: Waking | None = None
+    book: Book | None = None
+    disk: Entry | None = None
+    seen: int = 0  # the last sign of life
+    begun: int = 0  # runs of its key
+
+
+@dataclass
+class World:
+    """The setting at one moment."""
+
+    jobs: Jobs = field(default_factory=Jobs)
+    now: int = 0
+    index: int = 0
+    ticks: int = TICKS
+    cuts: int = CUTS
+    owners: int = OWNERS
+    asks: int = ASKS
+    stale_left: int = STALE
+    nodes: dict[str, Node] = field(default_factory=lambda: {name: Node() for name in NAMES})
+    dealer: Dealer | None = None
+    stale: tuple[Any, ...] = ()  # proposals of an owner that was stopped before it sent them
+    epoch_token: int = 0  # of the owner that began the epoch
+    opened_by: dict[str, int] = field(default_factory=dict)  # node -> token that opened it
+    wrong: str | None = None
+
+    pools_kind = Pools
+    fleet_kind = Fleet
+    grants_kind = Grants
+    book_kind = Book
+    waits_for_proof = True
+
+    def __post_init__(self) -> None:
+        self.pools, self.fleet = self.pools_kind(self.jobs), self.fleet_kind(self.jobs)
+        self.enter(self.jobs, Renew("o0", "", 1, True, {}))
+        for job in (JOB, job_of(POOL)):
+            self.enter(self.jobs, DefineJob(job))
+        self.enter(self.pools, Define(POOL, LIMIT, FLOOR, len(NAMES), TERM))
+        self.dealer = Dealer(POOL, self.token(job_of(POOL)))
+        self.epoch_token = self.token(JOB)
+        for name in NAMES:
+            self.wake(name)
+        self.check()
+
+    def token(self, job: str) -> int:
+        return self.jobs.jobs[job].token
+
+    def enter(self, part: Any, what: Any) -> Any:
+        self.index += 1
+        return part.apply(self.index, msgspec.Raw(msgspec.msgpack.encode(what)))
+
+    # -- as the explorer wants it ----------------------------------------------------------------------
+
+    def after(self, action: Any) -> World:
+        twin = copy.deepcopy(self)
+        getattr(twin, action[0])(*action[1:])
+        twin.check()
+        return twin
+
+    def violation(self) -> str | None:
+        return self.wrong
+
+    def key(self) -> Hashable:
+        """Places in the log only count by their order: histories that differ in nothing else are one."""
+        seats = self.pools.pools[POOL].seats
+        places = {self.token(JOB), self.token(job_of(POOL)), self.epoch_token, self.pools.pools[POOL].token}
+        for seat in seats.values():
+            places |= {seat.renewed, seat.ghost_at}
+        assert self.dealer is not None
+        places |= {at for _, at in self.dealer.seen} | {getattr(each, "renewed", 0) for each in self.stale}
+        places |= {each.token for each in self.stale} | set(self.opened_by.values())
+        rank = {place: at for at, place in enumerate(sorted(places))}
+        table = tuple(
+            (
+                name,
+                each.life,
+                each.turn,
+                each.held,
+                each.target,
+                rank[each.renewed],
+                each.ghost,
+                rank[each.ghost_at],
+            )
+            for name, each in sorted(seats.items())
+        )
+        dealer = tuple(sorted((name, rank[at], since) for (name, at), since in self.dealer.seen.items()))
+        stale = tuple(
+            (type(each).__name__, rank[each.token], rank.get(getattr(each, "renewed", -1)))
+            for each in self.stale
+        )
+        nodes = tuple(self.node_key(self.nodes[name]) for name in NAMES)
+        doors = tuple(
+            (name, each.life, each.door, each.share) for name, each in sorted(self.fleet.nodes.items())
+        )
+        left = (self.now, self.ticks, self.cuts, self.owners, self.asks, self.stale_left, self.fleet.epoch)
+        by = tuple((name, rank[at]) for name, at in sorted(self.opened_by.items()))
+        return (left, table, dealer, stale, nodes, doors, by, rank[self.token(JOB)], rank[self.dealer.token])
+
+    @staticmethod
+    def node_key(node: Node) -> Hashable:
+        grants, waking = node.grants, node.waking
+        held = (
+            (grants.amount, grants.until, grants.asked_at, grants.turn, grants.floor_from) if grants else None
+        )
+        word = (waking.epoch, waking.share, waking.heard, waking.clock_off) if waking else None
+        flying = (node.flying.amount, node.flying.refused) if node.flying else None
+        book = (node.book.stands, tuple(node.book.known.items())) if node.book else None
+        return (
+            node.up,
+            node.life,
+            held,
+            flying,
+            node.out,
+            node.mine,
+            word,
+            book,
+            node.disk,
+            node.seen,
+            node.begun,
+        )
+
+    def check(self) -> None:
+        usable = sum(each.grants.usable(self.now) for each in self.nodes.values() if each.up and each.grants)
+        out = sum(end > self.now for each in self.nodes.values() for end in each.out)
+        if usable > LIMIT:
+            self.wrong = f"{usable} usable of {LIMIT}"
+        elif out > LIMIT:
+            self.wrong = f"{out} in hand below of {LIMIT}"
+        elif reserved(self.pools.pools[POOL]) > LIMIT:
+            self.wrong = f"{reserved(self.pools.pools[POOL])} reserved of {LIMIT}"
+        elif any(each.begun > 1 for each in self.nodes.values()):
+            self.wrong = "a key ran twice on its node"
+        for name, each in self.fleet.nodes.items():
+            if each.door == Door.OPEN and self.opened_by.get(name, 0) < self.epoch_token:
+                self.wrong = f"{name} is open by the word of an owner from before the epoch"
+
+    # -- what may happen -------------------------------------------------------------------------------
+
+    def actions(self) -> Iterable[Hashable]:
+        if self.ticks:
+            yield ("tick",)
+        if self.owners:
+            yield ("owner",)
+        yield ("look",)
+        if self.stale_left:
+            yield ("stops_before_it_sends",)
+        if self.stale:
+            yield ("sends_late",)
+        for name in NAMES:
+            node = self.nodes[name]
+            if not node.up:
+                yield ("wake", name)
+                continue
+            assert node.grants is not None and node.book is not None
+            if self.cuts:
+                yield ("cut", name)
+            if node.flying is not None:
+                yield ("hear", name)
+                yield ("lose", name)
+            elif self.asks and node.grants.asked_at is None:
+                yield ("ask", name)
+            if node.mine < node.grants.usable(self.now):
+                yield ("call", name)
+            if not node.book.stands:
+                yield ("stand", name)
+            if self.may_run(node):
+                yield ("run", name)
+
+    def tick(self) -> None:
+        self.ticks -= 1
+        self.now += TICK
+        for node in self.nodes.values():
+            ended = [end for end in node.out if end <= self.now]
+            node.out = tuple(end for end in node.out if end > self.now)
+            node.mine = max(0, node.mine - len(ended)) if node.up else 0
+            if node.up:
+                node.seen = self.unix(node)
+
+    def unix(self, node: Node) -> int:
+        """Of node b, after its first cut, an hour ahead."""
+        return self.now + (HOUR if node is self.nodes["b"] and node.life > 1 else 0)
+
+    def owner(self) -> None:
+        """Another one; what the old one had on its way may come yet. It finds the power lost: a new epoch."""
+        self.owners -= 1
+        for name, known in list(self.jobs.candidates.items()):
+            self.enter(self.jobs, Gone(name, known.renewed))
+        self.enter(self.jobs, Renew(f"o{self.index}", "", self.index, True, {}))
+        self.dealer = Dealer(POOL, self.token(job_of(POOL)))
+        if self.enter(self.fleet, NewEpoch(self.token(JOB), self.fleet.epoch)).done:
+            self.epoch_token = self.token(JOB)
+            for node in self.fleet.nodes.values():
+                node.door, node.share = Door.SHUT, 0.0  # the power was lost by all
+
+    def proposals(self) -> list[Any]:
+        assert self.dealer is not None
+        said: list[Any] = list(self.dealer.looks(self.now, copy.deepcopy(self.pools.pools[POOL])))
+        shut = [name for name, each in self.fleet.nodes.items() if each.door == Door.SHUT]
+        return said + ([Wave(self.token(JOB), dict.fromkeys(shut, 1.0), Plan(9.0))] if shut else [])
+
+    def look(self) -> None:
+        self.send(self.proposals())
+
+    def stops_before_it_sends(self) -> None:
+        self.stale_left -= 1
+        self.stale = tuple(self.proposals())
+
+    def sends_late(self) -> None:
+        said, self.stale = self.stale, ()
+        self.send(list(said))
+
+    def send(self, said: list[Any]) -> None:
+        for each in said:
+            part = self.fleet if isinstance(each, Wave) else self.pools
+            done = self.enter(part, each)
+            if isinstance(each, Wave) and done.done:
+                self.opened_by |= dict.fromkeys(each.shares, each.token)
+
+    # -- nodes -----------------------------------------------------------------------------------------
+
+    def wake(self, name: str) -> None:
+        node = self.nodes[name]
+        node.up, node.life, node.mine, node.flying = True, node.life + 1, 0, None
+        node.grants = self.grants_kind(POOL, name, node.life, FLOOR, TERM, self.now)
+        node.waking = Waking(name, "", node.life, False, 1, Clock.PLAUSIBLE, self.now)
+        node.waking.ready = True
+        node.book = self.book_kind(10, 1 << 20)
+        if node.life == 1:
+            node.book.stands = True
+        self.report(node)
+
+    def report(self, node: Node) -> None:
+        assert node.waking is not None
+        what = Report(
+            node.waking.node, "", node.life, False, node.waking.epoch, self.unix(node), True, True, 0.0
+        )
+        node.waking.asked_at = self.now
+        node.waking.answered(self.now, self.enter(self.fleet, what))
+
+    def cut(self, name: str) -> None:
+        self.cuts -= 1
+        node = self.nodes[name]
+        node.up, node.mine, node.flying = False, 0, None
+
+    def ask(self, name: str) -> None:
+        self.asks -= 1
+        node = self.nodes[name]
+        assert node.grants is not None
+        node.grants.ask_at = self.now
+        node.grants.wants(LIMIT)
+        what = node.grants.next_ask(self.now, node.mine)
+        assert isinstance(what, Ask)
+        node.flying = self.enter(self.pools, what)
+
+    def hear(self, name: str) -> None:
+        node = self.nodes[name]
+        assert node.grants is not None and node.flying is not None
+        told, node.flying = node.flying, None
+        node.grants.answered(self.now, told)
+
+    def lose(self, name: str) -> None:
+        node = self.nodes[name]
+        assert node.grants is not None
+        node.flying = None
+        node.grants.failed(self.now)
+
+    def call(self, name: str) -> None:
+        node = self.nodes[name]
+        assert node.grants is not None
+        node.out = tuple(sorted((*node.out, self.now + node.grants.span(self.now))))
+        node.mine += 1
+
+    def stand(self, name: str) -> None:
+        node = self.nodes[name]
+        assert node.book is not None
+        if node.disk is not None:
+            node.book.recover(KEY, node.disk, node.seen, self.unix(node))
+        node.book.stands = True
+
+    def may_run(self, node: Node) -> bool:
+        assert node.book is not None
+        if node.begun > 1 or (self.waits_for_proof and not node.book.stands):
+            return False
+        return node.book.told(KEY, BODY, self.unix(node)) is Told.NEW
+
+    def run(self, name: str) -> None:
+        node = self.nodes[name]
+        assert node.book is not None
+        now = self.unix(node)
+        node.disk = Entry(State.OPEN, "save", now, now + WINDOW, now + WINDOW, b"%d" % node.life, BODY)
+        node.book.take(KEY, node.disk)
+        node.begun += 1
+        node.seen = now
+
+
+# -- mistakes that must be caught ------------------------------------------------------------------
+
+
+class NoGhostPools(Pools):
+    """Honours an earlier life's grant no more, though its calls go on."""
+
+    def ask(self, index: int, what: Ask) -> Granted:
+        told = super().ask(index, what)
+        self.pools[what.pool].seats[what.node].ghost = 0
+        return told
+
+
+class AnyOwnerJobs(Fleet):
+    """Takes any owner's plan."""
+
+    def apply(self, index: int, command: msgspec.Raw) -> Any:
+        known = self.jobs.is_owner
+        self.jobs.is_owner = lambda job, token: True  # type: ignore[method-assign]
+        try:
+            return super().apply(index, command)
+        finally:
+            self.jobs.is_owner = known  # type: ignore[method-assign]
+
+
+class FloorAtOnce(Grants):
+    """Counts on its floor from its first moment."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.floor_from = 0
+
+
+class WallBook(Book):
+    """Counts windows by the clock that it finds."""
+
+    def recover(self, key: bytes, entry: Entry, seen: int, now: int) -> bool:
+        return entry.until >= now and super().recover(key, entry, now, now)
+
+
+class OldGrant(World):
+    pools_kind = NoGhostPools
+
+
+class OldPlan(World):
+    fleet_kind = AnyOwnerJobs
+
+
+class EarlyFloor(World):
+    grants_kind = FloorAtOnce
+
+
+class BeforeProof(World):
+    waits_for_proof = False
+
+
+class WrongClock(World):
+    book_kind = WallBook
+
+
+MISTAKES = [OldGrant, OldPlan, EarlyFloor, BeforeProof, WrongClock]
+
+
+def play(kind: type[World], depth: int, most: int = 400_000) -> Explored:
+    return explore(kind(), depth, most)
+
+
+@click.command()
+@click.option("--depth", default=8, show_default=True)
+@click.option("--most", default=400_000, show_default=True, help="States.")
+def main(depth: int, most: int) -> None:
+    """Tries everything to that depth, and that each planted mistake is caught."""
+    found = play(World, depth, most)
+    click.echo(str(found) + (f"\n  {found.history}" if found.violation else ""))
+    failed = found.violation is not None
+    for kind in MISTAKES:
+        caught = play(kind, depth, most)
+        failed = failed or caught.violation is None
+        said = f"{len(caught.history)} steps, {caught.states} states"
+        click.echo(f"  {kind.__name__}: {caught.violation or 'NOT CAUGHT'}, {said}")
+    raise SystemExit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lichencleat/lab/rig/fleet.py
@@ -0,0 +1,184 @@
+"""A whole fleet of real processes on the rig: voters, nodes in two zones that share a dependency, keep
+receipts and return together; callers that ask again and again. For tests of what all of them do, and for
+benchmarks.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from lichencleat.lab.rig.nodes import HARD_LIMIT, RigNode, settings
+from lichencleat.lab.rig.peers import Dependency
+from lichencleat.lab.rig.rig import Rig, wait_until
+
+LIMIT, FLOOR, TERM = 24, 1, 1.0
+NODES, OPEN, KEYS = 8, 6, 12  # OPEN: tries at once at each node; KEYS: of receipted inquiries, at each
+WINDOW = 60.0  # s: longer than a schedule
+BACK = 30.0  # s in which the fleet has to be open again
+
+
+class Load:
+    """Pure inquiries with a call, and receipted ones of a few keys, at one node."""
+
+    def __init__(self, rig: Rig, node: RigNode, open_: int = OPEN) -> None:
+        self.rig, self.node, self.open, self.on = rig, node, open_, True
+        self.rng = random.Random(node.name)
+        self.keys = [b"%032x" % self.rng.getrandbits(128) for _ in range(KEYS)]
+        self.made = 0
+        self.caller = node.caller()
+        rig.relays.reactor.callFromThread(self.step)
+
+    def step(self) -> None:
+        if not self.on:
+            return
+        while self.caller.waiting < self.open:
+            self.made += 1
+            if self.rng.random() < 0.4:
+                key = self.rng.choice(self.keys)
+                asked = self.caller.ask(b"save", b"body " + key, HARD_LIMIT, self.rng, key)
+            else:
+                asked = self.caller.ask(b"look", b"b%d" % self.made, HARD_LIMIT, self.rng)
+            if asked is None:
+                break
+        self.rig.relays.reactor.callLater(self.rng.uniform(0.01, 0.04), self.step)
+
+    def honoured(self) -> int:
+        return sum(bool(each.answers) and each.answers[0][0] == b"200" for each in list(self.caller.said))
+
+    def judge(self) -> str | None:
+        engine = self.node.engine
+        for (tariff, body), count in engine.begun.items():
+            if tariff == b"save" and count > 1:
+                return f"{self.node.name}: {body!r} ran {count} times"
+        told: dict[bytes, set[bytes]] = {}
+        for each in self.caller.said:
+            if len(each.answers) > 1:
+                return f"{self.node.name}: {each.ident!r} was answered {len(each.answers)} times"
+            for word, _, result, _ in each.answers:
+                if word == b"200" and result not in engine.made.get((each.tariff, each.body), []):
+                    return f"{self.node.name}: {each.body!r} was honoured with what no run made"
+                if word == b"200" and each.tariff == b"save":
+                    told.setdefault(each.body, set()).add(result)
+        return next(
+            (f"{body!r} was told {results}" for body, results in told.items() if len(results) > 1), None
+        )
+
+
+class Fleet:
+    """Owns rig, nodes, loads and dependency; all are given back in `close`."""
+
+    def __init__(
+        self,
+        path: Path,
+        forgets: bool = False,
+        nodes: int = NODES,
+        limit: int = LIMIT,
+        returns: bool = True,
+        dependency: Callable[[Any], Dependency] | None = None,
+        open_: int = OPEN,
+        work: float = 0.01,
+    ) -> None:
+        """`returns`: by plan; else a node serves once it is up. `forgets`, `work`: see `peers.Engine`."""
+        self.rig = rig = Rig(path)
+        self.returns, self.count = returns, nodes
+        self.nodes: dict[str, RigNode] = {}
+        self.loads: list[Load] = []
+        rig.form()
+        self.file = str(rig.voters["v1"].file)
+        words = ["--limit", str(limit), "--nodes", str(nodes), "--floor", str(FLOOR), "--term", str(TERM)]
+        assert self.command("shares", "define", self.file, "below", *words)[0] == 0
+        if returns:
+            assert self.command("owners", "define", self.file, "revive")[0] == 0
+        reactor = rig.relays.reactor
+        make = dependency or (lambda reactor: Dependency(reactor, random.Random(1), 0.03, limit))
+        self.below: Dependency = rig.relays.call(make, reactor)
+        for number in range(1, nodes + 1):
+            name, zone = f"n{number}", "xy"[number % 2]
+            chosen = {
+                "fleet": {
+                    "group": "rig",
+                    "members": [each.address for each in rig.voters.values()],
+                    "zone": zone,
+                    "candidate": number <= 4,
+                    "revive": returns,
+                    "shares": {"pool": "below", "floor": FLOOR, "term_s": TERM},
+                },
+                "keyed": {"directory": str(path / f"{name}.keyed"), "disk": "held back"},
+                "log": {},
+            }
+            told = settings(calls=(True, False), window=WINDOW)
+            engine = {"work": work, "calling": frozenset([b"look"]), "forgets": forgets}
+            made = RigNode(rig, name, chosen, self.below, told, **engine)
+            self.nodes[name] = made
+            made.start()
+        self.until_open()
+        self.loads = [Load(rig, each, open_) for each in self.nodes.values()]
+
+    def command(self, *words: str) -> tuple[int, str]:
+        return self.rig.command(*words)
+
+    def status(self) -> dict[str, dict]:
+        code, said = self.command("fleet", "status", self.file, "--json")
+        return {each["node"]: each for each in json.loads(said)} if code == 0 else {}
+
+    def epoch(self) -> int:
+        code, said = self.command("fleet", "plan", self.file, "--json")
+        return json.loads(said)["epoch"] if code == 0 else 0
+
+    def until_open(self) -> None:
+        if not self.returns:
+            return
+        end = time.monotonic() + BACK
+        while time.monotonic() < end:
+            known = self.status()
+            if sum(each["share"] >= 1.0 for each in known.values()) == self.count and not self.under_way():
+                return
+        said = self.command("fleet", "status", self.file)[1]
+        raise AssertionError(f"not open again after {BACK:g} s:\n{said}\n{self.rig.logs()}")
+
+    def under_way(self) -> bool:
+        code, said = self.command("fleet", "plan", self.file, "--json")
+        return code != 0 or json.loads(said)["under_way"]
+
+    def cut(self, nodes: list[str], voters: list[str]) -> None:
+        """Their power goes at one moment."""
+        for name in nodes:
+            self.nodes[name].signal(9)
+        for name in voters:
+            self.rig.voters[name].signal(9)
+        for name in nodes:
+            self.nodes[name].ended()
+        for name in voters:
+            self.rig.voters[name].ended()
+
+    def come_back(self, nodes: list[str], voters: list[str]) -> None:
+        for name in voters:
+            self.rig.voters[name].start()
+        for name in nodes:
+            self.nodes[name].start()
+
+    def work(self, count: int = 5) -> None:
+        before = [each.honoured() for each in self.loads]
+        wait_until(
+            lambda: all(each.honoured() >= had + count for each, had in zip(self.loads, before, strict=True)),
+            "answers of all nodes",
+            self.rig.logs,
+        )
+
+    def judge(self) -> str | None:
+        if self.below.over_limit:
+            return f"{self.below.most} in hand below, and the limit is {self.below.limit}"
+        return next((wrong for each in self.loads if (wrong := each.judge())), None)
+
+    def close(self) -> None:
+        for each in self.loads:
+            each.on = False
+        for each in self.nodes.values():
+            each.close()
+        self.rig.relays.call(self.below.close)
+        self.rig.close()
--- a/lichencleat/lab/rig/peers.py
+++ b/lichencleat/lab/rig/peers.py
@@ -419,3 +419,49 @@
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
         self.caller.failed()
+
+
+class ColdDependency(Dependency):
+    """Survives a third of its limit at first, more as it works; beyond that it falls, and comes back cold."""
+
+    COLD, FALL, BACK = 1 / 3, 1.15, 3.0  # of the limit; times what it survives; s
+
+    def __init__(self, reactor: Any, rng: random.Random, takes: float, limit: int, warm: float) -> None:
+        """`warm`: s of work until it is whole."""
+        super().__init__(reactor, rng, takes, limit)
+        self.warm = warm
+        self.whole = 1.0
+        self.since = reactor.seconds()
+        self.down_until = 0.0
+        self.falls = 0
+
+    def survives(self) -> float:
+        now = self.reactor.seconds()
+        if self.in_hand and now > self.down_until:
+            self.whole = min(1.0, self.whole + (1 - self.COLD) * (now - self.since) / self.warm)
+        self.since = now
+        assert self.limit is not None
+        return self.whole * self.limit
+
+    def cut_power(self) -> None:
+        """It is cold again, and up."""
+        self.survives()
+        self.whole, self.down_until = self.COLD, 0.0
+
+    def take(self, link: DependencyLink, words: list[bytes], body: bytes) -> None:
+        now = self.reactor.seconds()
+        if words[0] == b"FETCH" and now < self.down_until:
+            self.end(link, words[1], None)
+            self.reactor.callLater(0.05, self.refuse, link, words[1])
+            return
+        super().take(link, words, body)
+        if self.in_hand > self.FALL * self.survives():
+            self.falls += 1
+            self.whole, self.down_until = self.COLD, now + self.BACK
+            for each in list(self.links):
+                for ident in list(each.calls):
+                    self.end(each, ident, line(ident, b"FAULT"))
+
+    def refuse(self, link: DependencyLink, ident: bytes) -> None:
+        if link.transport is not None:
+            link.transport.writeSequence(line(ident, b"FAULT"))
--- a/lichencleat/revive/state.py
+++ b/lichencleat/revive/state.py
@@ -104,8 +104,14 @@
             node.door, node.share = Door.SHUT, 0.0  # it was away: it comes in as one that woke
         node.zone, node.beat, node.unix = what.zone, index, what.unix
         node.ready, node.proof, node.strain, node.speed = what.ready, what.proof, what.strain, what.speed
-        often = self.plan is not None
-        return Word(self.epoch, node.share, self.clock_off(index, node), reason(node, self.plan), often)
+        often, unowned = self.plan is not None, not self.planned()
+        return Word(
+            self.epoch, node.share, self.clock_off(index, node), reason(node, self.plan), often, unowned
+        )
+
+    def planned(self) -> bool:
+        job = self.jobs.jobs.get(JOB)
+        return job is not None and bool(job.owner)
 
     def clock_off(self, index: int, node: Node) -> int:
         """µs that its clock is ahead of the others', 0 where that may be chance, or nobody can say."""
--- a/lichencleat/revive/terms.py
+++ b/lichencleat/revive/terms.py
@@ -122,6 +122,7 @@
     clock_off: int = 0  # µs that its clock is ahead of the fleet's
     why: str = ""
     often: bool = False  # a return is under way: the owner goes by these reports
+    unowned: bool = False  # nobody plans, so nobody opens
 
 
 class Done(msgspec.Struct, frozen=True, array_like=True):
--- a/lichencleat/revive/waking.py
+++ b/lichencleat/revive/waking.py
@@ -36,8 +36,8 @@
         """`epoch`: the last that it took part in; `now`: µs of the monotonic clock at its start."""
         self.node, self.zone, self.life, self.clean = node, zone, life, clean
         self.epoch, self.clock = epoch, clock
-        self.started = now
         self.heard = False  # since its start
+        self.alone_since: int | None = now  # nobody answers, or nobody plans
         self.share = 0.0
         self.clock_off = 0
         self.why = "it waits for the fleet's word"
@@ -53,10 +53,10 @@
     def may(self, now: int) -> May:
         """At each moment. The share is no older epoch's; without any word it comes from time alone."""
         share, why = self.share, self.why
-        if not self.heard:
-            alone = now - self.started - ALONE
-            share = min(1.0, ALONE_STEP * (1 + alone // SECOND)) if alone >= 0 else 0.0
-            why = "nobody answers: it goes on alone" if alone >= 0 else why
+        if self.alone_since is not None and now - self.alone_since >= ALONE:
+            alone = min(1.0, ALONE_STEP * (1 + (now - self.alone_since - ALONE) // SECOND))
+            if alone > share:
+                share, why = alone, f"{'nobody plans' if self.heard else 'nobody answers'}: it goes on alone"
         receipted = may_serve_receipted(self.known())
         if not receipted:
             why = f"its clock is off by {self.clock_off / SECOND:.0f} s" if self.clock_off else why
@@ -90,6 +90,10 @@
             self.heard = True
             self.epoch, self.share = word.epoch, word.share
             self.clock_off, self.why = word.clock_off, word.why
+            if not word.unowned:
+                self.alone_since = None
+            elif self.alone_since is None:
+                self.alone_since = now
         self.ask_at = now + (SELDOM if self.share >= 1.0 and not word.often else OFTEN)
         return new
 
--- /dev/null
+++ b/tests/fleet/test_fleet_return.py
@@ -0,0 +1,49 @@
+"""Three voters and eight real nodes lose their power, twice, and the owner of the plan dies; in full:
+`python -m tests.fleet.revive`.
+"""
+
+import pytest
+
+from lichencleat.lab.rig.fleet import Fleet
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = Fleet(tmp_path)
+    try:
+        yield made
+        assert made.judge() is None
+    finally:
+        made.close()
+
+
+def owner(fleet):
+    said = fleet.command("owners", "explain", fleet.file, "revive")[1]
+    return next((name for name in fleet.nodes if f"{name} owns it" in said), None)
+
+
+def test_a_fleet_returns_by_plan_after_cuts_of_power_and_runs_nothing_twice(fleet):
+    rig, everyone, voters = fleet.rig, list(fleet.nodes), list(fleet.rig.voters)
+    fleet.work()
+    epoch = fleet.epoch()
+    fleet.cut(everyone, voters)
+    fleet.come_back(everyone, voters)
+    rig.until(lambda: fleet.epoch() > epoch, "a new epoch")
+    fleet.cut(everyone, voters)  # in the middle of the return
+    fleet.come_back(everyone, voters)
+    planner = rig.until(lambda: owner(fleet), "an owner of the plan")
+    fleet.cut([planner], [])
+    rig.until(lambda: owner(fleet) not in (None, planner), "the next owner")
+    fleet.come_back([planner], [])
+    fleet.until_open()
+    fleet.work()
+    assert fleet.epoch() > epoch
+    code, said = fleet.command("fleet", "explain", fleet.file, "n1")
+    assert code == 0 and "it serves all that comes" in said
+    assert "no return is under way" in fleet.command("fleet", "status", fleet.file)[1]
+    assert fleet.command("fleet", "explain", fleet.file, "n99")[0] == 2
+    assert fleet.command("fleet", "hold", fleet.file)[0] == 1
+    assert fleet.command("fleet", "forget", fleet.file, "n99")[0] == 1
+    assert "event=epoch" in fleet.nodes["n1"].said() and "event=plan" in rig.logs() + "".join(
+        each.said() for each in fleet.nodes.values()
+    )
--- a/tests/revive/test_revive.py
+++ b/tests/revive/test_revive.py
@@ -3,6 +3,8 @@
 import msgspec
 import pytest
 
+from lichencleat.lab.explore_revive import MISTAKES, play
+from lichencleat.lab.explore_revive import World as Explored
 from lichencleat.lab.sim.revive import World
 from lichencleat.owners.jobs import Jobs
 from lichencleat.owners.terms import Define, Gone, Renew
@@ -317,6 +319,19 @@
     assert mine.answered(1, word(4, 0.34)) and mine.may(ALONE + 30 * SECOND).share == 0.34
 
 
+def test_where_nobody_plans_a_node_goes_on_alone_after_a_while(group):
+    mine = waking()
+    mine.next_report(0, 0, 0.0, 1.0)
+    mine.answered(1, word(3, 0.0, unowned=True))
+    assert mine.may(ALONE - 1).share == 0.0 and mine.may(ALONE + 4 * SECOND).share == 0.25
+    mine.next_report(mine.ask_at, 0, 0.0, 1.0)
+    mine.answered(ALONE, word(3, 0.0))
+    assert mine.may(ALONE + 4 * SECOND).share == 0.0
+    assert not group.report("a").unowned
+    group.enter(group.jobs, Gone("o1", group.jobs.candidates["o1"].renewed))
+    assert group.report("a").unowned
+
+
 def word(epoch, share, **more):
     from lichencleat.revive.terms import Word
 
@@ -372,3 +387,10 @@
         world.clockwork.after(round((at + 2) * SECOND), world.owner_comes, 2)
         ran = world.play()
         assert ran.full and ran.falls == 0 and ran.epochs == 1, (at, ran)
+
+
+def test_all_orders_of_cuts_and_returns_to_a_depth_and_planted_mistakes_are_caught():
+    found = play(Explored, 5, 30_000)
+    assert found.violation is None and found.depth >= 3
+    for kind in MISTAKES:
+        assert play(kind, 9, 60_000).violation is not None, kind
