Keyed: windows count in the node's own time; a second cut after a wrong clock lost one

Cause: found by the explorer of the return (run, cut, wake with a clock an hour ahead, a sign of life, stand): Book.recover held entries of a life before against the last sign by the system's clock, so that a life with a wrong clock, cut again, made the next one drop what was in its window. Change: a node's own time, by the monotonic clock, that goes on from the last sign and stands still while the node is down; entries and signs are kept in it. Runs of lives before are given up where the interpreter began later, also when its banner came before the book stood (it was looked at then only).

--- a/benchmarks/keyed.py
+++ b/benchmarks/keyed.py
@@ -16,7 +16,7 @@
 import click
 
 from lichencleat.keyed.book import READ_LATE
-from lichencleat.keyed.records import ENTRY, FORMAT, WHOSE, Entry, State, Whose, encode, encode_seen
+from lichencleat.keyed.records import ENTRY, FORMAT, WHOSE, Entry, Seen, State, Whose, encode
 from lichencleat.keyed.records import SEEN as SEEN_KEY
 from lichencleat.lab.rig.nodes import HARD_LIMIT, RigNode, settings, unix_time
 from lichencleat.lab.rig.rig import Rig, wait_until
@@ -98,7 +98,7 @@
     rng = random.Random(1)
     engine = Engine.open(RealDisk(directory, create=True), unix_time, rng, Bounds(), True, directory)
     whose = Whose(FORMAT, "n1", os.stat(directory).st_ino)
-    head = Batch().put(WHOSE, encode(whose)).put(SEEN_KEY, encode_seen(now))
+    head = Batch().put(WHOSE, encode(whose)).put(SEEN_KEY, encode(Seen(now, now)))
     batches = [head]
     for number in range(entries):
         ident, until = b"%016x" % number, now + READ_LATE
--- a/lichencleat/cli/keyed.py
+++ b/lichencleat/cli/keyed.py
@@ -19,6 +19,7 @@
     SEEN,
     WHOSE,
     Entry,
+    Seen,
     State,
     Whose,
     decode_entry,
@@ -80,15 +81,17 @@
 @as_json
 @click.option("--open", "only_open", is_flag=True, help="Only intents without a result.")
 def list_entries(directory: str, as_json: bool, only_open: bool) -> None:
-    """Each key's mark, state, age and what is left of its window by this machine's clock."""
+    """Each key's mark, state, and age and what was left of its window at the node's last sign of life."""
     with opened(directory) as engine:
+        said = engine.get(SEEN)
+        seen = decode_seen(said).own if said is not None else 0
         rows = [
             [
                 key,
                 State(each.state).name.lower(),
                 each.tariff,
-                (now() - each.arrived) / SECOND,
-                (each.until - now()) / SECOND,
+                (seen - each.arrived) / SECOND,
+                (each.until - seen) / SECOND,
                 len(each.result),
             ]
             for key, each in entries(engine)
@@ -105,16 +108,17 @@
     with opened(directory) as engine:
         said, seen = engine.get(WHOSE), engine.get(SEEN)
         whose = decode_whose(said) if said is not None else Whose(0, "", 0)
+        last = decode_seen(seen) if seen is not None else Seen(0, now())
         known = [each for _, each in entries(engine) if each is not None]
         stat = engine.stat()
     pairs = {
         "node": whose.node,
         "format": whose.format,
-        "last_sign_s_ago": round((now() - decode_seen(seen)) / SECOND, 3) if seen is not None else None,
+        "last_sign_s_ago": round((now() - last.unix) / SECOND, 3),
         "entries": len(known),
         "without_result": sum(each.state == State.OPEN for each in known),
         "ran_to_nothing": sum(each.state == State.FAILED for each in known),
-        "past_their_window": sum(each.until + READ_LATE < now() for each in known),
+        "past_their_window": sum(each.until + READ_LATE < last.own for each in known),
         "result_bytes": sum(len(each.result) for each in known),
     }
     output.pairs(
--- a/lichencleat/keyed/assembly.py
+++ b/lichencleat/keyed/assembly.py
@@ -39,7 +39,7 @@
     book = Book(chosen.entries, round(chosen.disk_mb * (1 << 20) * FILLED))
     keeper = Keeper(name, node.host, node.deadlines, node.report, clock, book)
     node.interpreter.early = {}
-    node.interpreter.began = lambda age: keeper.interpreter_began(clock() - age)
+    node.interpreter.began = keeper.interpreter_began
     return keeper
 
 
--- a/lichencleat/keyed/book.py
+++ b/lichencleat/keyed/book.py
@@ -1,7 +1,8 @@
 """What is known of each key, and what follows: what a repeat is told, what is let go, when there is no room.
 
-No I/O; times are µs of Unix time. An entry of a life before counts its window from that life's last sign, as
-if no time had passed since: whatever the clock did meanwhile, no window ends too early.
+No I/O; times are µs of the node's own time, which runs on through its lives and stands still between them
+(see `keeper.py`). So whatever the system's clock did meanwhile, no window ends too early. Harm: entries stay
+longer by the time that the node was down.
 """
 
 from __future__ import annotations
@@ -119,21 +120,15 @@
 
     # -- after a restart -------------------------------------------------------------------------------
 
-    def recover(self, key: bytes, entry: Entry, seen: int, now: int) -> bool:
-        """An entry as it was read; `seen`: the last sign of the life before. Is it still of use?
-
-        Guards against a clock that was set while the node was down: only what had passed before the last sign
-        counts. Harm: entries stay for one window longer after each restart.
-        """
-        if entry.until + READ_LATE < seen or key in self.known:
+    def recover(self, key: bytes, entry: Entry, now: int) -> bool:
+        """An entry of a life before, as it was read. Is it still of use?"""
+        if entry.until + READ_LATE < now or key in self.known:
             return key in self.known  # what this life has written since is newer
-        until, size = max(entry.until, now + entry.until - seen), len(entry.result)
-        self.known[key] = PACKED.pack(
-            entry.state, until, entry.body, size
-        )  # its result is read when asked for
+        size = len(entry.result)  # the result itself is read when asked for
+        self.known[key] = PACKED.pack(entry.state, entry.until, entry.body, size)
         self.sizes += ENTRY_COST + size
-        if entry.state == State.OPEN and entry.due + LATE > seen:
-            self.open[entry.ident] = Open(key, entry, now + entry.due + LATE - seen)
+        if entry.state == State.OPEN and entry.due + LATE > now:
+            self.open[entry.ident] = Open(key, entry, entry.due + LATE)
         return True
 
     def none_runs(self) -> None:
--- a/lichencleat/keyed/keeper.py
+++ b/lichencleat/keyed/keeper.py
@@ -24,13 +24,13 @@
     SEEN,
     WHOSE,
     Entry,
+    Seen,
     State,
     Whose,
     decode_entry,
     decode_seen,
     decode_whose,
     encode,
-    encode_seen,
     mark,
 )
 from lichencleat.store.batch import Batch
@@ -102,6 +102,11 @@
     ) -> None:
         self.node, self.host, self.deadlines, self.report, self.clock = node, host, deadlines, report, clock
         self.book = book
+        # the node's own time goes on where the last life's last sign was, by the monotonic clock
+        self.own = 0
+        self.since = deadlines.now()
+        self.last_unix = 0  # µs of Unix time: the last sign of the life before
+        self.interpreter_at: int | None = None  # µs of the monotonic clock: when it began
         self.store: Store | None = None
         self.waits = Waits()
         self.entries: dict[Inquiry, tuple[bytes, Entry]] = {}  # key, intent: of runs that are not over
@@ -127,15 +132,17 @@
         for each in self.opened:
             each(store.engine.get)
         seen = store.engine.get(SEEN)
-        now = self.clock()
-        seen_at = decode_seen(seen) if seen is not None else now
+        last = decode_seen(seen) if seen is not None else Seen(self.clock(), self.clock())
+        self.own, self.last_unix = last.own, last.unix
+        self.since = self.deadlines.now()
+        now = self.own
         snapshot = store.snapshot()
         cursor = ENTRY
         while not self.closed:
             chunk = yield store.chunk(snapshot, cursor, ENTRY, CHUNK)
             if not chunk:
                 break
-            late = [key for key, value in chunk if not self.recovers(key, value, seen_at, now)]
+            late = [key for key, value in chunk if not self.recovers(key, value, now)]
             if late:
                 self.write(self.deletes(late)).addErrback(lambda failure: None)
             cursor = chunk[-1][0] + b"\0"
@@ -145,6 +152,7 @@
         for ident in list(self.book.open):
             self.host.adopts(ident, partial(self.earlier_run_ended, ident))
         self.host.adopts_no_more()
+        self.look_for_runs()
         self.report.note(f"keyed: the book stands with {known} entries, {open_} of them without a result")
         self.beat()
         self.tell_able()
@@ -153,9 +161,17 @@
             if case.open and self.look_up(case):
                 self.host.takes(case)
 
-    def recovers(self, key: bytes, value: bytes, seen: int, now: int) -> bool:
+    def time(self) -> int:
+        """µs of the node's own time."""
+        return self.own + self.deadlines.now() - self.since
+
+    def own_time(self, unix: int) -> int:
+        """Of a moment told in Unix time, by this machine's clock as it is now."""
+        return self.time() - (self.clock() - unix)
+
+    def recovers(self, key: bytes, value: bytes, now: int) -> bool:
         try:
-            return self.book.recover(key, decode_entry(value), seen, now)
+            return self.book.recover(key, decode_entry(value), now)
         except msgspec.MsgspecError:
             self.report.count("keyed", "entries unreadable")
             return False
@@ -207,7 +223,7 @@
         return True
 
     def told(self, case: Case) -> Told:
-        return self.book.told(mark(case.key[:-MARK]), case.key[-MARK:], case.inquiry.arrived)
+        return self.book.told(mark(case.key[:-MARK]), case.key[-MARK:], self.own_time(case.inquiry.arrived))
 
     def share(self, case: Case) -> None:
         """Its first try is none that the host has: the book tells what there is."""
@@ -244,9 +260,9 @@
 
     def intends(self, case: Case, span: int) -> None:
         """Its intent goes to the disk; `span`: µs from now during which what arrives is a repeat of it."""
-        inquiry, now = case.inquiry, self.clock()
-        until, body = now + span, case.key[-MARK:]
-        entry = Entry(State.OPEN, inquiry.tariff.name, inquiry.arrived, until, inquiry.due, case.ident, body)
+        inquiry, body = case.inquiry, case.key[-MARK:]
+        arrived, due, until = self.own_time(inquiry.arrived), self.own_time(inquiry.due), self.time() + span
+        entry = Entry(State.OPEN, inquiry.tariff.name, arrived, until, due, case.ident, body)
         key = mark(case.key[:-MARK])
         self.entries[inquiry] = key, entry
         start = self.waits.starts[inquiry] = Start(case, self.deadlines.now())
@@ -366,10 +382,23 @@
         for case in self.waits.shares.pop(key, ()):
             self.host.end_share(case, result)
 
-    def interpreter_began(self, at: int) -> None:
-        """µs of Unix time. Runs that were begun before are not there any more."""
-        if self.book.open and all(each.entry.arrived < at for each in self.book.open.values()):
-            self.report.note(f"keyed: a new interpreter: {len(self.book.open)} intents stay without a result")
+    def interpreter_began(self, age: int) -> None:
+        """So many µs ago. Told at each banner, which may come before the book stands."""
+        self.interpreter_at = self.deadlines.now() - age
+        if self.book.stands:
+            self.look_for_runs()
+
+    def look_for_runs(self) -> None:
+        """Runs of lives before are gone where the interpreter began after the last of them: in this life, or by
+        the system's clock after that one's last sign. A clock that was set can at worst end a wait too early.
+        """
+        at = self.interpreter_at
+        if at is None or not self.book.open:
+            return
+        unix = self.clock() - (self.deadlines.now() - at)
+        if at >= self.since or unix > self.last_unix + 2 * BEAT:
+            count = len(self.book.open)
+            self.report.note(f"keyed: a new interpreter: {count} intents stay without a result")
             self.book.none_runs()
             for key in list(self.waits.shares):
                 self.end_shares(key, None)
@@ -450,16 +479,16 @@
             batch = self.sign(False)
             if self.whose is not None:
                 batch.put(WHOSE, self.whose)
-            for key in self.book.over(self.clock()):
+            for key in self.book.over(self.time()):
                 batch.delete(key)
             self.write(batch).addCallbacks(self.has_beaten, lambda failure: None)
-        for key in self.book.out_of_time(self.clock()):
+        for key in self.book.out_of_time(self.time()):
             self.end_shares(key, None)
         self.tell_able()
         self.deadlines.after(BEAT, self.beat)
 
     def sign(self, ends: bool) -> Batch:
-        batch = Batch().put(SEEN, encode_seen(self.clock()))
+        batch = Batch().put(SEEN, encode(Seen(self.time(), self.clock())))
         for each in self.signs:
             batch.put(*each(ends))
         return batch
--- a/lichencleat/keyed/records.py
+++ b/lichencleat/keyed/records.py
@@ -23,7 +23,7 @@
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     state: int
     tariff: str
-    arrived: int  # µs of Unix time, of the try that was let run
+    arrived: int  # µs of the node's own time, of the try that was let run
     until: int  # what arrives up to then is a repeat of it
     due: int
     ident: bytes  # its name at the interpreter
@@ -52,8 +52,11 @@
     return ENTRY + blake2b(key, digest_size=MARK).digest()
 
 
-def encode_seen(now: int) -> bytes:
-    return encode(now)
+class Seen(msgspec.Struct, frozen=True, array_like=True):
+    """The last sign of life."""
 
+    own: int  # µs of the node's own time
+    unix: int  # µs, as the system's clock had it then
 
-decode_seen = msgspec.msgpack.Decoder(int).decode
+
+decode_seen = msgspec.msgpack.Decoder(Seen).decode
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -74,7 +74,13 @@
 def parts() -> dict[str, Part]:
     """What the group decides on; the same at each member."""
     jobs = Jobs()
-    return {"facts": Facts(), "owners": jobs, "shares": Pools(jobs), "revive": Fleet(jobs), "zones": Zones(jobs)}
+    return {
+        "facts": Facts(),
+        "owners": jobs,
+        "shares": Pools(jobs),
+        "revive": Fleet(jobs),
+        "zones": Zones(jobs),
+    }
 
 
 class ExpiryTender:
