--- a/lichencleat/keyed/assembly.py
+++ b/lichencleat/keyed/assembly.py
@@ -11,7 +11,8 @@
 
 from lichencleat.chosen.file import KeyedChoice
 from lichencleat.keyed.book import Book
-from lichencleat.keyed.keeper import Keeper, NotOursError
+from lichencleat.keyed.keeper import Keeper
+from lichencleat.keyed.whose import NotOursError
 from lichencleat.store.disk import Disk, RealDisk
 from lichencleat.store.errors import StoreError
 from lichencleat.store.room import Bounds
--- a/lichencleat/keyed/keeper.py
+++ b/lichencleat/keyed/keeper.py
@@ -19,20 +19,18 @@
 from lichencleat.keyed.book import Book, Told
 from lichencleat.keyed.records import (
     ENTRY,
-    FORMAT,
     MARK,
     SEEN,
     WHOSE,
     Entry,
     Seen,
     State,
-    Whose,
     decode_entry,
     decode_seen,
-    decode_whose,
     encode,
     mark,
 )
+from lichencleat.keyed.whose import check_whose
 from lichencleat.store.batch import Batch
 from lichencleat.store.errors import StoreError
 from lichencleat.store.store import Store
@@ -70,10 +68,6 @@
     def adopts_no_more(self) -> None: ...
 
 
-class NotOursError(Exception):
-    """The directory is somebody else's, or a copy: what, where, what to do, in one line."""
-
-
 @dataclass(slots=True)
 class Start:
     """A run that waits for its intent."""
@@ -128,7 +122,7 @@
     def start(self, store: Store, place: int) -> Any:
         """Reads the book; the node serves meanwhile. Fails with NotOursError before anything is written."""
         self.store = store
-        self.check_whose(store, place)
+        self.whose = check_whose(store, self.node, place)
         for each in self.opened:
             each(store.engine.get)
         seen = store.engine.get(SEEN)
@@ -176,29 +170,6 @@
             self.report.count("keyed", "entries unreadable")
             return False
 
-    def check_whose(self, store: Store, place: int) -> None:
-        """Guards the rule on effects against a directory that does not tell of this node's last window."""
-        said = store.engine.get(WHOSE)
-        if said is None:
-            if any(True for _ in store.scan(ENTRY)):
-                raise NotOursError("it holds entries and names no node; name another directory")
-            self.whose = encode(Whose(FORMAT, self.node, place))
-            return
-        whose = decode_whose(said)
-        if whose.format != FORMAT:
-            raise NotOursError(
-                f"it has format {whose.format}, and this program's is {FORMAT}; run the program that wrote it"
-            )
-        if whose.node != self.node:
-            raise NotOursError(
-                f"it belongs to the node {whose.node!r}, and this is {self.node!r}; name its own"
-            )
-        if whose.place != place:
-            raise NotOursError(
-                "it was copied or moved: what the last window ran may be missing; "
-                "where it is whole, 'lichencleat keyed adopt DIR' takes it on"
-            )
-
     # -- arrivals --------------------------------------------------------------------------------------
 
     def arrives(self, case: Case) -> bool:
@@ -389,8 +360,8 @@
             self.look_for_runs()
 
     def look_for_runs(self) -> None:
-        """Runs of lives before are gone where the interpreter began after the last of them: in this life, or by
-        the system's clock after that one's last sign. A clock that was set can at worst end a wait too early.
+        """Runs of lives before are gone where the interpreter began after them: in this life, or by the clock after
+        the last sign of the one before. A clock that was set can at worst end a wait too early.
         """
         at = self.interpreter_at
         if at is None or not self.book.open:
--- a/tests/keyed/tests_keyed_life.py
+++ b/tests/keyed/tests_keyed_life.py
@@ -6,7 +6,8 @@
 from twisted.internet.task import Clock
 
 from lichencleat.keyed.book import Book
-from lichencleat.keyed.keeper import Keeper, NotOursError
+from lichencleat.keyed.keeper import Keeper
+from lichencleat.keyed.whose import NotOursError
 from lichencleat.net.deadlines import Deadlines
 from lichencleat.net.host import Case, Host
 from lichencleat.net.report import Report
