--- a/lichencleat/keyed/keeper.py
+++ b/lichencleat/keyed/keeper.py
@@ -360,8 +360,8 @@
             self.look_for_runs()
 
     def look_for_runs(self) -> None:
-        """Runs of lives before are gone where the interpreter began after them: in this life, or by the clock after
-        the last sign of the one before. A clock that was set can at worst end a wait too early.
+        """Runs of lives before are gone where the interpreter began after them: in this life, or by the clock
+        after the last sign of the one before. A clock that was set can at worst end a wait too early.
         """
         at = self.interpreter_at
         if at is None or not self.book.open:
