--- a/lichencleat/lab/sim/owners.py
+++ b/lichencleat/lab/sim/owners.py
@@ -9,7 +9,6 @@
 
 import random
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,6 +17,7 @@
 
 from lichencleat.lab.checkers.owners import OwnersWatch
 from lichencleat.lab.sim.clockwork import Clockwork, DriftingClock
+from lichencleat.lab.sim.many import many
 from lichencleat.owners.expiry import Expiry
 from lichencleat.owners.fence import Fence
 from lichencleat.owners.jobs import Jobs
@@ -376,18 +376,13 @@
     gaps: list[int] = []
     wrong: list[Ran] = []
     runs = 0
-    with ProcessPoolExecutor(cores) as pool:
-        jobs = [(seed, variant, wild) for seed in range(first, first + seeds)]
-        for ran in pool.map(one, jobs, chunksize=4):
-            runs += 1
-            gaps += ran.gaps
-            for name in sums:
-                sums[name] += getattr(ran, name)
-            if ran.wrong is not None:
-                wrong.append(ran)
-                if len(wrong) >= most:
-                    pool.shutdown(cancel_futures=True)
-                    break
+    jobs = [(seed, variant, wild) for seed in range(first, first + seeds)]
+    for ran in many(one, jobs, cores, most):
+        runs += 1
+        gaps += ran.gaps
+        for name in sums:
+            sums[name] += getattr(ran, name)
+        wrong += [ran] if ran.wrong is not None else []
     click.echo(f"{runs} runs, " + ", ".join(f"{count} {name}" for name, count in sums.items()))
     if gaps:
         gaps.sort()
--- a/lichencleat/lab/sim/run.py
+++ b/lichencleat/lab/sim/run.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import random
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 
 import click
@@ -14,6 +13,7 @@
 from lichencleat.lab.sim.clockwork import Clockwork
 from lichencleat.lab.sim.faults import Cause, Fault, draw, shrink
 from lichencleat.lab.sim.group import SimGroup
+from lichencleat.lab.sim.many import many
 from lichencleat.lab.sim.network import Network
 from lichencleat.lab.sim.variants import VARIANTS
 from lichencleat.quorum import following
@@ -114,17 +114,12 @@
     failed: list[Ran] = []
     sums = dict.fromkeys(("runs", "faults", "calls", "answered", "entries", "terms"), 0)
     jobs = [(seed, variant) for seed in range(first, first + seeds)]
-    with ProcessPoolExecutor(cores) as pool:
-        for ran in pool.map(one, jobs, chunksize=4):
-            sums["runs"] += 1
-            sums["faults"] += len(ran.faults)
-            for name in ("calls", "answered", "entries", "terms"):
-                sums[name] += getattr(ran, name)
-            if ran.wrong is not None:
-                failed.append(ran)
-                if len(failed) >= most:
-                    pool.shutdown(cancel_futures=True)
-                    break
+    for ran in many(one, jobs, cores, most):
+        sums["runs"] += 1
+        sums["faults"] += len(ran.faults)
+        for name in ("calls", "answered", "entries", "terms"):
+            sums[name] += getattr(ran, name)
+        failed += [ran] if ran.wrong is not None else []
     click.echo(", ".join(f"{count} {name}" for name, count in sums.items()))
     for ran in failed:
         click.echo(f"seed {ran.seed}: {ran.wrong}")
--- a/lichencleat/lab/sim/shares.py
+++ b/lichencleat/lab/sim/shares.py
@@ -10,7 +10,6 @@
 
 import random
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from typing import Any
 
@@ -18,6 +17,7 @@
 import msgspec
 
 from lichencleat.lab.sim.clockwork import Clockwork, DriftingClock
+from lichencleat.lab.sim.many import many
 from lichencleat.owners.jobs import Jobs
 from lichencleat.owners.terms import Define as DefineJob
 from lichencleat.owners.terms import Gone, Renew
@@ -417,15 +417,10 @@
 def main(seeds: int, first: int, cores: int, variant: str, wild: bool, most: int) -> None:
     """Runs nodes and owners through drawn faults, and tells what broke."""
     runs, calls, full, wrong = 0, 0, 0.0, []
-    with ProcessPoolExecutor(cores) as pool:
-        jobs = [(seed, variant, wild) for seed in range(first, first + seeds)]
-        for ran in pool.map(one, jobs, chunksize=4):
-            runs, calls, full = runs + 1, calls + ran.calls, max(full, ran.full)
-            if ran.wrong is not None:
-                wrong.append(ran)
-                if len(wrong) >= most:
-                    pool.shutdown(cancel_futures=True)
-                    break
+    jobs = [(seed, variant, wild) for seed in range(first, first + seeds)]
+    for ran in many(one, jobs, cores, most):
+        runs, calls, full = runs + 1, calls + ran.calls, max(full, ran.full)
+        wrong += [ran] if ran.wrong is not None else []
     click.echo(f"{runs} runs, {calls} calls, at the most {full:.0%} of a limit in hand")
     for ran in wrong:
         click.echo(f"seed {ran.seed}: {ran.wrong}")
