Owners: a job goes only to a candidate that knows it; drawn returns with more faults

Cause: a candidate whose file names no return, or of an older version, could own the job revive and do nothing, so that the fleet stayed shut (seen while nodes of an older version were added to the rig's faults; choice.heir looked at health, zone and load only). Change: candidates say what the names of their jobs begin with; the drawn returns have wrong clocks, empty disks, copies and older nodes.

--- a/lichencleat/cli/owners.py
+++ b/lichencleat/cli/owners.py
@@ -106,7 +106,7 @@
     else:
         nobody = (
             "nobody: there is no healthy candidate"
-            if not heir(job, jobs, candidates)
+            if not heir(name, jobs, candidates)
             else "about to be given"
         )
         said.append(f"it is {nobody}")
--- a/lichencleat/lab/rig/fleet.py
+++ b/lichencleat/lab/rig/fleet.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import Any
 
+import yaml
+
 from lichencleat.lab.rig.nodes import HARD_LIMIT, RigNode, settings
 from lichencleat.lab.rig.peers import Dependency
 from lichencleat.lab.rig.rig import Rig, wait_until
@@ -47,6 +49,10 @@
                 break
         self.rig.relays.reactor.callLater(self.rng.uniform(0.01, 0.04), self.step)
 
+    def new_keys(self) -> None:
+        """The ones before are not asked for any more."""
+        self.keys = [b"%032x" % self.rng.getrandbits(128) for _ in range(KEYS)]
+
     def honoured(self) -> int:
         return sum(bool(each.answers) and each.answers[0][0] == b"200" for each in list(self.caller.said))
 
@@ -141,6 +147,15 @@
         said = self.command("fleet", "status", self.file)[1]
         raise AssertionError(f"not open again after {BACK:g} s:\n{said}\n{self.rig.logs()}")
 
+    def takes_no_part(self, name: str) -> None:
+        """From its next start on it is as one of a version that knows of no fleet's return."""
+        node = self.nodes[name]
+        chosen = yaml.safe_load(node.file.read_text())
+        if chosen["fleet"]["revive"]:
+            chosen["fleet"]["revive"] = False
+            node.file.write_text(yaml.safe_dump(chosen))
+            self.count -= 1
+
     def under_way(self) -> bool:
         code, said = self.command("fleet", "plan", self.file, "--json")
         return code != 0 or json.loads(said)["under_way"]
--- a/lichencleat/net/fleet.py
+++ b/lichencleat/net/fleet.py
@@ -100,6 +100,8 @@
         holder = Holder(self.reactor, self.client(), self.name, zone, Works(works), self.rng, self.log)
         for each in works:
             each.holder = holder
+        # a node whose file names no part of it would own a job and do nothing
+        holder.leases.knows = [each.job for each in works] or ["none"]
         return holder
 
     def start(self) -> None:
--- a/lichencleat/owners/choice.py
+++ b/lichencleat/owners/choice.py
@@ -22,20 +22,26 @@
     return found
 
 
-def heir(job: Job, jobs: Mapping[str, Job], candidates: Mapping[str, Candidate]) -> str:
-    """The candidate for a free job, empty where there is none: healthy, near, not crashed by it last, with
-    few jobs.
+def can(name: str, candidate: Candidate) -> bool:
+    """Is that a job that it can do? One of an older version, or with less in its file, knows fewer."""
+    return not candidate.knows or any(name.startswith(each) for each in candidate.knows)
+
+
+def heir(name: str, jobs: Mapping[str, Job], candidates: Mapping[str, Candidate]) -> str:
+    """The candidate for a free job, empty where there is none: able, healthy, near, not crashed by it last,
+    with few jobs.
     """
+    job = jobs[name]
     if job.aside:
         return ""
-    if job.wanted in candidates and candidates[job.wanted].healthy:
+    if job.wanted in candidates and candidates[job.wanted].healthy and can(name, candidates[job.wanted]):
         return job.wanted
-    fit = [name for name, each in candidates.items() if each.healthy]
+    fit = [who for who, each in candidates.items() if each.healthy and can(name, each)]
     if not fit:
         return ""
     loaded = loads(jobs, candidates)
-    far = {name: bool(job.near) and candidates[name].zone != job.near for name in fit}
-    return min(fit, key=lambda name: (name == job.last, far[name], loaded[name], name))
+    far = {who: bool(job.near) and candidates[who].zone != job.near for who in fit}
+    return min(fit, key=lambda who: (who == job.last, far[who], loaded[who], who))
 
 
 def better(jobs: Mapping[str, Job], candidates: Mapping[str, Candidate]) -> tuple[str, str] | None:
@@ -55,9 +61,9 @@
         owner = candidates.get(job.owner)
         if owner is None:
             continue
-        others = [each for each in fit if each not in (job.owner, job.last)]
+        others = [each for each in fit if each not in (job.owner, job.last) and can(name, candidates[each])]
         near = [each for each in others if candidates[each].zone == job.near]
-        if not owner.healthy and others:
+        if not (owner.healthy and can(name, owner)) and others:
             return name, min(near or others, key=lambda each: (loaded[each], each))
         if job.near and owner.zone != job.near and near:
             return name, min(near, key=lambda each: (loaded[each], each))
--- a/lichencleat/owners/jobs.py
+++ b/lichencleat/owners/jobs.py
@@ -92,7 +92,7 @@
                 return Owned({}, [], "too many candidates")
             if what.held:
                 return Owned({}, [], "it was gone")  # it must let go first, and then come as a new one
-        self.candidates[what.name] = Candidate(what.zone, what.healthy, what.life, index)
+        self.candidates[what.name] = Candidate(what.zone, what.healthy, what.life, index, what.knows)
         return None
 
     def owned(self, name: str) -> Owned:
@@ -146,7 +146,7 @@
         """Free jobs are given away; of those that would be better elsewhere, one is asked back."""
         for name in sorted(self.jobs):
             job = self.jobs[name]
-            if not job.owner and (chosen := heir(job, self.jobs, self.candidates)):
+            if not job.owner and (chosen := heir(name, self.jobs, self.candidates)):
                 self.give(name, job, chosen, index)
         found = better(self.jobs, self.candidates)
         if found is not None:
--- a/lichencleat/owners/leases.py
+++ b/lichencleat/owners/leases.py
@@ -23,6 +23,7 @@
         self.asked_at: int | None = None  # of the renewal under way
         self.ask_at = 0
         self.healthy = True
+        self.knows: list[str] = []  # see terms.Candidate
         self.let_go: list[str] = []  # asked back
         # stopped acting on, and not known yet to be released: an older renewal's answer may not begin them
         # again
@@ -35,7 +36,7 @@
             return None
         self.lapse(now)
         self.asked_at = now
-        return Renew(self.name, self.zone, self.life, self.healthy, dict(self.held))
+        return Renew(self.name, self.zone, self.life, self.healthy, dict(self.held), self.knows)
 
     def answered(self, now: int, owned: Owned) -> dict[str, int]:
         """The renewal under way was confirmed. Gives the jobs that begin."""
--- a/lichencleat/owners/terms.py
+++ b/lichencleat/owners/terms.py
@@ -29,6 +29,7 @@
     healthy: bool
     life: int  # drawn at its start: one of the same name is another one
     renewed: int  # index of the entry by which it last renewed
+    knows: list[str] = []  # what the names of jobs that it can do begin with; empty: it can do all
 
 
 class Renew(msgspec.Struct, frozen=True, array_like=True, tag="renew"):
@@ -39,6 +40,7 @@
     life: int
     healthy: bool
     held: dict[str, int]  # job -> token, as it believes
+    knows: list[str] = []
 
 
 class Gone(msgspec.Struct, frozen=True, array_like=True, tag="gone"):
--- a/lichencleat/revive/seat.py
+++ b/lichencleat/revive/seat.py
@@ -139,6 +139,7 @@
 
     def __init__(self, reactor: Any, client: Client, log: Any) -> None:
         self.reactor, self.client, self.log = reactor, client, log
+        self.job = JOB
         self.holder: Holder | None = None
         self.planner: Planner | None = None
         self.timer: Any = None
--- a/lichencleat/shares/seat.py
+++ b/lichencleat/shares/seat.py
@@ -119,6 +119,7 @@
 
     def __init__(self, reactor: Any, client: Client, pool: str, log: Any) -> None:
         self.reactor, self.client, self.pool, self.log = reactor, client, pool, log
+        self.job = job_of(pool)
         self.holder: Holder | None = None
         self.dealer: Dealer | None = None
         self.timer: Any = None
--- a/tests/fleet/revive.py
+++ b/tests/fleet/revive.py
@@ -4,12 +4,13 @@
 outlive the cut, callers that ask again and again. Power goes for all, a zone, all twice; links are cut while
 they return. Judged: no receipted inquiry runs twice on a node, nothing is honoured that no run made, nothing
 is answered twice, the dependency never has more than its limit; and every node is open again, or the fleet
-says what it waits for.
+says what it waits for. Some wake with a wrong clock, an empty disk, a copy of theirs, or as an older version.
 """
 
 from __future__ import annotations
 
 import random
+import shutil
 import tempfile
 import time
 from concurrent.futures import ProcessPoolExecutor
@@ -32,6 +33,35 @@
     took: float = 0.0  # s until all were open after the last cut
 
 
+def hurts(fleet: Fleet, nodes: list[str], rng: random.Random) -> tuple[str, list]:
+    """Something more that befalls one node; what is to be undone before all can be open again."""
+    name = rng.choice(nodes)
+    node = fleet.nodes[name]
+    load = next(each for each in fleet.loads if each.node is node)
+    directory = fleet.rig.path / f"{name}.keyed"
+    kind = rng.choice(["", "", "", "clock", "clock", "empty disk", "copy", "older"])
+    if kind == "clock":
+        fleet.rig.clock(name, 1.0, rng.choice([3600.0, -3600.0, -1.7e9]))
+        return f", {name} with a wrong clock", [lambda: fleet.rig.clock(name)]
+    if kind == "empty disk":
+        shutil.rmtree(directory)
+        load.new_keys()  # nothing proves what ran: an operator waits for the longest window
+        return f", {name} with an empty disk", []
+    if kind == "copy":
+        shutil.copytree(directory, f"{directory}.copy")
+        shutil.rmtree(directory)
+        shutil.move(f"{directory}.copy", directory)
+        node.start()
+        assert node.ended() == 2 and "copied or moved" in node.said(), node.said()[-500:]
+        shutil.rmtree(directory)
+        load.new_keys()
+        return f", {name} with a copy", []
+    if kind == "older":
+        fleet.takes_no_part(name)
+        return f", {name} of an older version", []
+    return "", []
+
+
 def play(fleet: Fleet, rng: random.Random, ran: Ran) -> None:
     everyone, voters = list(fleet.nodes), list(fleet.rig.voters)
     fleet.work()
@@ -50,6 +80,8 @@
         ran.cuts.append(kind)
         time.sleep(rng.uniform(0, 0.6))
         fleet.cut(nodes, lost)
+        more, undo = hurts(fleet, nodes, rng) if nodes else ("", [])
+        ran.cuts[-1] += more
         pairs = set()
         if rng.random() < 0.3:  # one node hears nobody while the others return
             name = rng.choice(everyone)
@@ -63,6 +95,8 @@
         time.sleep(rng.uniform(0, 2.0))
         fleet.come_back(late, [])
         fleet.rig.heal(pairs)
+        for each in undo:
+            each()
         if rng.random() < 0.6:  # else the next cut comes in the middle of the return
             fleet.until_open()
             ran.took = time.monotonic() - began
--- a/tests/owners/test_decisions.py
+++ b/tests/owners/test_decisions.py
@@ -149,7 +149,7 @@
     ],
 )
 def test_who_is_given_a_free_job(job, zones, chosen):
-    assert heir(job, {"j": job}, candidates(**zones)) == chosen
+    assert heir("j", {"j": job}, candidates(**zones)) == chosen
 
 
 def test_what_works_is_left_alone_and_what_is_uneven_or_ill_is_moved_one_at_a_time():
@@ -247,3 +247,16 @@
     assert fence.accepts("j", 5) and fence.accepts("j", 5) and fence.accepts("j", 9)
     assert not fence.accepts("j", 5) and fence.accepts("k", 1) and fence.refused == 1
     assert not Fence(fence.tokens).accepts("j", 8)
+
+
+def test_a_job_goes_only_to_who_knows_it_and_leaves_who_does_not(told):
+    """A candidate of an older version, or with less in its file, would own it and do nothing."""
+    told(Renew("a", "x", 1, True, {}, ["shares/"]))
+    told(Define("revive"))
+    told(Define("shares/p"))
+    assert told.owner("revive") == "" and told.owner("shares/p") == "a"
+    told(Renew("b", "x", 2, True, {}, ["revive"]))
+    assert told.owner("revive") == "b"
+    told(Renew("b", "x", 2, True, {}, ["none"]))
+    told(Renew("c", "x", 3, True, {}))
+    assert told.jobs.jobs["revive"].wanted == "c"
