--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -156,7 +156,7 @@
     def command(self, *words: str) -> tuple[int, str]:
         """Exit code and output of a command of the program."""
         made = self.program(list(words), stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
-        said, _ = made.communicate(timeout=PATIENCE)
+        said, _ = made.communicate(timeout=2 * PATIENCE)  # it gives up by itself after one
         return made.returncode, said
 
     def form(self) -> None:
