Rig: a port is the rig's own also while its process is down

Cause: two of 20 drawn returns with three rigs side by side failed as a node or voter could not listen on its port: another rig had drawn it while the power was cut. Change: a rig keeps a UDP socket of each number.

--- a/lichencleat/lab/rig/nodes.py
+++ b/lichencleat/lab/rig/nodes.py
@@ -82,7 +82,7 @@
         rng = random.Random(name)
         self.engine: Engine = rig.relays.call(lambda: Engine(reactor, rng, **engine))
         self.listed: Listed = rig.relays.call(lambda: Listed(reactor))
-        self.port = free_port()
+        self.port = free_port(rig.reserved)
         self.config, self.file = rig.path / f"{name}.json", rig.path / f"{name}.node.yaml"
         known = {
             "name": name,
--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -31,15 +31,26 @@
 PORTS = random.SystemRandom()  # rigs side by side draw apart; no test hangs on which port it is
 
 
-def free_port() -> int:
-    """Below what the kernel gives out by itself: no relay or connection made meanwhile takes it."""
+def free_port(reserved: list[socket.socket] | None = None) -> int:
+    """Below what the kernel gives out by itself: no relay or connection made meanwhile takes it.
+
+    `reserved`: takes a UDP socket of that number, so that no other rig draws it while its process is down.
+    """
     while True:
         port = PORTS.randrange(20_000, 32_000)
+        held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
+            held.bind((LOCAL, port))
             with socket.create_server((LOCAL, port)):
-                return port
+                pass
         except OSError:  # somebody's
+            held.close()
             continue
+        if reserved is None:
+            held.close()
+        else:
+            reserved.append(held)
+        return port
 
 
 def wait_until(holds: Callable[[], Any], what: str, more: Callable[[], str] = lambda: "") -> Any:
@@ -58,7 +69,7 @@
 
     def __init__(self, rig: Rig, name: str, disk: str) -> None:
         self.rig, self.name = rig, name
-        self.port = free_port()
+        self.port = free_port(rig.reserved)
         self.relay = rig.relays.before(name, self.port)
         self.directory = rig.path / name
         self.file = rig.path / f"{name}.yaml"
@@ -130,6 +141,7 @@
         self.path, self.times = path, times or FAST
         self.relays = Relays()
         self.children: list[subprocess.Popen] = []
+        self.reserved: list[socket.socket] = []
         self.clients: list[Client] = []
         self.voters: dict[str, Voter] = {}
         for number in range(1, voters + 1):
@@ -268,6 +280,8 @@
             if child.stdout is not None:
                 child.stdout.close()
         self.relays.close()
+        for held in self.reserved:
+            held.close()
 
 
 class Writer:
