Review: the sum of hot results is right; dead code of the change goes

Cause, seen on reading: Book.keep_hot counted a result twice when two repeats read it back at once, and one whose entry had gone, so that in time fewer stayed in memory. Change: it takes what is known and not hot yet; Interpreter.disown, which nobody called, and a half-used field of the seat go. Result: a test that fails without it; the tests of keyed, shares and net pass. No path of the platform's node is touched.

--- a/lichencleat/keyed/book.py
+++ b/lichencleat/keyed/book.py
@@ -94,6 +94,9 @@
             self.hot_bytes -= len(self.hot.pop(key, b""))
 
     def keep_hot(self, key: bytes, result: bytes) -> None:
+        """Guards the sum against a result read back twice at once, or whose entry has gone meanwhile."""
+        if key in self.hot or key not in self.known:
+            return
         self.hot[key] = result
         self.hot_bytes += len(result)
         while self.hot_bytes > self.hot_most:
--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -193,10 +193,6 @@
         run = self.runs[ident] = Run(ident, lambda body: None, ended)
         run.begun = True
 
-    def disown(self, ident: bytes) -> None:
-        """Nobody waits for an earlier life's run any more."""
-        self.runs.pop(ident, None)
-
     def resolve(self, run: Run, reply: bytes) -> None:
         self.command(run, line_with_body(b"RESOLVE", run.ident, body=reply))
 
--- a/lichencleat/shares/seat.py
+++ b/lichencleat/shares/seat.py
@@ -35,7 +35,7 @@
         self.reactor, self.client, self.grants, self.log = reactor, client, grants, log
         self.wanted, self.may_call = wanted, may_call
         self.told: int | None = None
-        self.said = ("", 0)  # the refusal and the token that the log has had
+        self.said = ""  # the refusal that the log has had
         self.timer: Any = None
         self.left = False
 
@@ -90,9 +90,9 @@
         except msgspec.ValidationError:  # voters of an older version know no pools
             granted = Granted(0, 0, refused="the voters know no pools")
         self.grants.answered(self.now(), granted)
-        if granted.refused and granted.refused != self.said[0]:
+        if granted.refused and granted.refused != self.said:
             self.log.warning("no seat", pool=self.grants.pool, reason=granted.refused)
-        self.said = (granted.refused, granted.token)
+        self.said = granted.refused
         self.tell(self.now())
         self.arm()
 
--- a/tests/keyed/test_keyed.py
+++ b/tests/keyed/test_keyed.py
@@ -48,6 +48,9 @@
     assert book.room() and book.sizes == ENTRY_COST + 5
     book.take(b"4" * 16, entry(State.DONE))
     assert book.result(b"4" * 16) == b""
+    held = book.hot_bytes
+    book.keep_hot(b"3" * 16, b"five!"), book.keep_hot(b"1" * 16, b"five!")  # read back twice, and too late
+    assert book.hot_bytes == held
 
 
 @pytest.mark.parametrize("steps", [(-3_600, 0), (-30, 30), (30, 30), (3_600, 3_600), (3_600, -50_000)])
