--- a/lichencleat/__main__.py
+++ b/lichencleat/__main__.py
@@ -14,8 +14,9 @@
             print(f"lichencleat: needs {missing.name}: pip install 'lichencleat[commands]'", file=sys.stderr)
             return 2
         return run(sys.argv[1:])
-    # the imports take a while; what it asks for is read after them
+    # the imports take a while; what it asks for is read after them, and nothing is owed before
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     from lichencleat.net.program import main as node
 
     return node()
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, DeferredList
 
 from lichencleat.clocks import unix_time
-from lichencleat.net.catalogue import Catalogue
+from lichencleat.net.catalogue import Catalogue, links_most
 from lichencleat.net.config import Told
 from lichencleat.net.deadlines import Deadlines
 from lichencleat.net.dispatchers import Dispatchers
@@ -23,6 +23,7 @@
 CLOSED_BY = 150_000  # µs before the stop by which the program ends in any case
 FLUSHED_BY = 50_000  # µs before the stop by which the last flow records are sent or given up
 CANT_START = 2  # exit code
+LAST = 50_000  # µs for answers to go out on connections that are ended as the time is up
 CROSSING = 300_000  # µs after goaway for what crosses it, and for the last answers to go out
 
 
@@ -44,7 +45,9 @@
         self.report = self.make_report(chosen)
         self.deadlines = Deadlines(reactor, self.report.trouble)
         self.interpreter = Interpreter(reactor, told.interpreter, self.deadlines, self.report)
-        self.catalogue = Catalogue(reactor, told.catalogue, self.deadlines, self.report)
+        self.catalogue = Catalogue(
+            reactor, told.catalogue, self.deadlines, self.report, links_most(told.descriptors)
+        )
         self.membership = Membership(told.name, told.members, self.deadlines, self.report)
         self.host = Host(
             told.machine,
@@ -169,16 +172,22 @@
         else:
             self.dispatchers.stop_listening()
             self.dispatchers.go_away()
-            self.deadlines.after(CROSSING, self.end)
+            left = max(0, self.stop_at - CLOSED_BY - self.clock())
+            self.deadlines.after(min(CROSSING, left), self.end)
 
     def end(self) -> None:
-        if (
-            self.host.owed() or len(self.dispatchers.connections)
-        ) and self.clock() < self.stop_at - CLOSED_BY:
+        """Once all connections have ended, in their own time; or, where that is short, with their answers."""
+        open_still = self.host.owed() or len(self.dispatchers.connections)
+        if open_still and self.clock() < self.stop_at - CLOSED_BY:
             self.deadlines.after(LOOK, self.end)
             return
         self.report.note(f"left with {self.host.owed()} unanswered")
-        self.end_at_once()
+        if len(self.dispatchers.connections):
+            self.dispatchers.shut()
+            left = max(0, self.stop_at - FLUSHED_BY - self.clock())
+            self.deadlines.after(min(LAST, left), self.end_at_once)
+        else:
+            self.end_at_once()
 
     def end_at_once(self) -> None:
         """All answers are out: what is left to write is flushed, as far as the time to stop allows."""
--- a/lichencleat/net/catalogue.py
+++ b/lichencleat/net/catalogue.py
@@ -19,7 +19,8 @@
 from lichencleat.terms import Outcome
 
 IDLE = 500_000  # µs: one left idle for longer may be forgotten by the other side, and the next call be lost
-LINKS_MOST = 48  # connections, busy ones included: an eighth of the least descriptors; more calls share them
+LINKS_MOST = 48  # connections, busy ones included: more calls at once than a machine of few cores makes
+LINKS_PART = 8  # one descriptor in so many, where that is fewer: callers may take half, and need not share
 REST_WAIT = 500_000  # µs for the rest of a reply that has begun: it comes in one piece from the same machine
 HEX = frozenset(b"0123456789abcdefABCDEF")
 IDENT = 16  # digits of an id
@@ -34,6 +35,11 @@
 }
 
 
+def links_most(descriptors: int) -> int:
+    """How many connections calls may take of so many descriptors; more calls share them."""
+    return max(1, min(LINKS_MOST, descriptors // LINKS_PART))
+
+
 class Call:
     __slots__ = ("ident", "link", "span", "body", "ended", "limit", "written")
 
@@ -177,9 +183,14 @@
 
 class Catalogue:
     def __init__(
-        self, reactor: Any, address: tuple[str, int] | None, deadlines: Deadlines, report: Report
+        self,
+        reactor: Any,
+        address: tuple[str, int] | None,
+        deadlines: Deadlines,
+        report: Report,
+        most: int = LINKS_MOST,
     ) -> None:
-        self.reactor, self.address = reactor, address
+        self.reactor, self.address, self.most = reactor, address, most
         self.wrap: Callable[[Any], Any] = lambda factory: factory  # meters the links, where flow export does
         self.deadlines, self.report = deadlines, report
         self.links: OrderedDict[Link, None] = OrderedDict()  # those that take calls, the last used at the end
@@ -191,7 +202,7 @@
         """
         fit = [each for each in reversed(self.links) if each not in spent and ident not in each.calls]
         link = next((each for each in fit if not each.calls), None)
-        if link is None and fit and len(self.links) >= LINKS_MOST:
+        if link is None and fit and len(self.links) >= self.most:
             link = min(fit, key=lambda each: len(each.calls))
         if link is None:
             link = Link(self)
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -2,72 +2,53 @@
 
 from __future__ import annotations
 
-import re
 from functools import partial
-from hashlib import blake2b
 from typing import Any
 
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.tcp import Port
+from zope.interface import implementer
 
+from lichencleat.net.catalogue import links_most
 from lichencleat.net.deadlines import Deadline, Deadlines
 from lichencleat.net.framing import BrokenFramingError
 from lichencleat.net.host import Answer, Case, Host
+from lichencleat.net.inquiries import BadInquiryError, read_inquiry
 from lichencleat.net.report import Report
 from lichencleat.net.resp import ArrayReader, array
 from lichencleat.net.slots import Slots
-from lichencleat.terms import Effect, Inquiry
+from lichencleat.terms import Inquiry
 
-BODY_MOST = 2_048  # bytes, by the protocol
 READ_MOST = 16_384  # bytes read at once: a flood on one connection holds the others up for some ms at most
 OPEN_MOST = 32  # inquiries open on one connection, by the protocol
 BAD_MOST = 4  # unusable arrays on one connection: more is no slip, and each costs as much as a good one
 TAG_DIGITS = 18  # of a tag: more than any connection has arrays
 FIRST_WAIT = 1_500_000  # µs from connecting to a whole array: half of what is owed to those who send none
 REST_WAIT = 1_000_000  # µs for the rest of an array that has begun: they are written in one piece
-AHEAD_MOST = 1_000_000  # µs that an arrival may lie ahead of our clock, which is the same machine's
-BEHIND_MOST = 10_000_000  # µs past its hard limit that one may be read, by a machine that paused
-HINT_MOST = 60_000.0  # ms of work that a caller may expect: ten times the longest wait for an answer
-SIZE_MOST = 2_000.0  # KB booked for an inquiry, by the protocol
-RESERVE = 96  # descriptors kept for the listener, interpreter, catalogue, members and the process itself
+BACKLOG = 1_024  # callers that may wait to be accepted: as many as there are, after a restart of all
+OWN = 16  # descriptors: process, reactor, listener and links have 10; a link or file more now and then
+SPARE = 8  # one in so many connections is for those that are on their way out, so that none has to be cut off
 CROWDED = 0.75  # of the connections: from there on those at rest are asked to go
 REST_LEAST = 1_000_000  # µs without traffic before that: a caller that comes back mostly does so sooner
-REST_CUT = (
-    60_000  # µs without traffic before one is cut off at the bound: what crosses that is sent once more
-)
+REST_CUT = 60_000  # µs without traffic before one is ended for room: what crosses an end is sent once more
+ROOM_AGAIN = 20_000  # µs between looks for room while no connection is accepted: a third of REST_CUT
+LINGER = 1_000_000  # µs from our end of a connection to the caller's, who has all answers by then, or is gone
+DROPPED_MOST = 262_144  # bytes read and dropped on one that ends: more than 32 inquiries, with their bodies
 UNREAD_LONG = 10_000_000  # µs that a caller may leave answers unread: longer than any inquiry waits
 CLOSE_AFTER = 300_000  # µs after goaway by which an unused connection is closed from here: what crossed is in
-FORMS = {  # of the fields, by the protocol: nothing that merely converts
-    b"i": re.compile(rb"[0-9a-fA-F]{16}"),
-    b"s": re.compile(rb"[0-9]{1,15}"),
-    b"f": re.compile(rb"[0-9]{1,9}"),
-    b"h": re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"),
-    b"m": re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"),
-    b"p": re.compile(rb"0(\.[0-9]{1,9})?"),
-    b"k": re.compile(rb"[0-9a-fA-F]{32}"),
-    b"r": re.compile(rb"1"),
-}
 WORDS = {Answer.HONOURED: b"200", Answer.DEFERRED: b"503", Answer.GIVEN_UP: b"500"}
 
 
-class BadInquiryError(Exception):
-    """An array that is none; its text says what is wrong."""
-
-
-def fields(text: bytes) -> dict[bytes, bytes]:
-    """Guards the decisions against figures that none means: each field once, in its form."""
-    pairs = [each.split(b"=", 1) for each in text.split(b",")]
-    said = dict(pairs)
-    if len(said) < len(pairs):
-        raise ValueError("a field comes twice")
-    for name, value in said.items():
-        form = FORMS.get(name)
-        if form is not None and not form.fullmatch(value):
-            raise ValueError(f"{name!r} reads {value[:40]!r}")
-    return said
-
-
+@implementer(IHalfCloseableProtocol)
 class Connection(Protocol):
-    """Owns the tags open on it; each is given back in `answer`, or all in `connectionLost`."""
+    """Owns the tags open on it; each is given back in `answer`, or all in `caller_gone`.
+
+    It ends in four steps: it is to end (`closing`, `going`); once nothing is open on it, the reactor reads
+    once more what came by then; if that opened nothing, our side is shut (`over`), after all answers; then
+    what the caller still had under way is read and dropped until it ends its side too, for `LINGER` at most.
+    A close over unread bytes would reset the connection, and answers that were written would go with it.
+    """
 
     def __init__(self, door: Dispatchers) -> None:
         self.door = door
@@ -79,7 +60,11 @@
         self.bad = 0  # unusable arrays
         self.whole_by: Deadline | None = None  # the array under way, or the first one
         self.going = False  # goaway was sent
-        self.closing = False  # nothing more is read from it
+        self.closing = False  # it ends once nothing is open on it
+        self.deaf = False  # what comes can't be read any more, and is dropped
+        self.over = False  # our side is shut: what comes crossed that, and is dropped
+        self.shut_at: int | None = None
+        self.dropped = 0  # bytes
         self.unread: Deadline | None = None
         self.idle: Deadline | None = None
         self.flow: Any = None  # metered, where flow export is switched on
@@ -95,7 +80,7 @@
         self.door.strangers[self] = None
         if self.door.flows is not None:
             self.flow = self.door.flows.opened(self.transport)
-        self.whole_by = self.door.deadlines.after(FIRST_WAIT, self.refuse_all, "nothing whole came in time")
+        self.whole_by = self.door.deadlines.after(FIRST_WAIT, self.too_slow, "nothing whole came in time")
         self.watch_idle()
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
@@ -104,13 +89,32 @@
         self.door.deadlines.cancel(self.whole_by)
         self.door.deadlines.cancel(self.unread)
         self.door.deadlines.cancel(self.idle)
-        self.closing = True
+        self.closing = self.over = True
+        self.caller_gone()
+        if self.flow is not None:
+            self.door.flows.ended(self.flow, self.cut_off)
+        self.door.has_room()
+
+    def caller_gone(self) -> None:
         cases, self.cases = self.cases, {}
         for case in cases.values():
             self.door.report.count("dispatchers", "lost with their connection")
             self.abandon(case)
-        if self.flow is not None:
-            self.door.flows.ended(self.flow, self.cut_off)
+
+    def readConnectionLost(self) -> None:
+        """The caller ended its side: nobody waits any more, and what was written goes out."""
+        self.closing = self.over = True
+        self.caller_gone()
+        self.door.deadlines.cancel(self.unread)
+        self.unread = self.door.deadlines.after(UNREAD_LONG, self.abort, "answers left unread")
+        if self.shut_at is None:
+            self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        """All answers went out, and then the end of our side."""
+        self.door.deadlines.cancel(self.unread)
+        self.unread = self.door.deadlines.after(LINGER, self.transport.loseConnection)
 
     # --- a caller that does not read --------------------------------------------------------------
 
@@ -123,15 +127,14 @@
     def resumeProducing(self) -> None:
         self.door.deadlines.cancel(self.unread)
         self.unread = None
-        if not self.closing:
-            self.transport.resumeProducing()
+        self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
         pass
 
     def abort(self, why: str) -> None:
         self.door.report.count("dispatchers", f"aborted: {why}")
-        self.closing = self.cut_off = True
+        self.closing = self.over = self.cut_off = True
         self.transport.abortConnection()
 
     def abandon(self, case: Case) -> None:
@@ -153,14 +156,15 @@
         self.last_traffic = self.door.deadlines.now()
         if self.flow is not None:
             self.door.flows.received(self.flow, len(data))
-        if self.closing:
+        if self.deaf or self.over:
+            self.drop(len(data))
             return
         came = False
         try:
             for words in self.reader.feed(data):
                 came = True
                 self.take(words)
-                if self.closing:
+                if self.deaf:
                     return
         except BrokenFramingError as broken:
             self.refuse_all(str(broken))
@@ -170,7 +174,7 @@
             self.door.deadlines.cancel(self.whole_by)
             self.whole_by = None
         if self.whole_by is None and self.reader.begun():
-            self.whole_by = self.door.deadlines.after(REST_WAIT, self.refuse_all, "an array came without end")
+            self.whole_by = self.door.deadlines.after(REST_WAIT, self.too_slow, "an array came without end")
 
     def take(self, words: list[bytes]) -> None:
         """Guards the node against one bad array: it is answered by its tag, or ends its connection."""
@@ -209,58 +213,40 @@
                 self.send(tag, WORDS[Answer.GIVEN_UP], self.said(), b"")
 
     def inquiry(self, tag: int, words: list[bytes]) -> None:
-        host = self.door.host
-        if not 4 <= len(words) <= 5:
-            raise BadInquiryError(f"{len(words)} words")
-        body = words[4] if len(words) == 5 else b""
-        tariff = host.tariffs.get(words[2])
-        if tariff is None or len(body) > BODY_MOST:
-            raise BadInquiryError(f"tariff {words[2][:40]!r}, body of {len(body)} bytes")
         if len(self.cases) >= OPEN_MOST:
             raise BadInquiryError("more open than a connection carries")
-        now = host.clock()
-        try:
-            said = fields(words[3])
-            ident, came = said[b"i"], int(said[b"s"]) * 1000
-            arrived, size_kb, cost_ms = min(came, now), float(said[b"m"]), float(said.get(b"h", 0))
-            if self.door.tenants and said[b"t"] not in self.door.tenants:
-                raise ValueError("no such tenant")
-            if not now - BEHIND_MOST - tariff.hard_limit <= came <= now + AHEAD_MOST:
-                raise ValueError("not of this time")
-            if not 0 < size_kb < SIZE_MOST or cost_ms > HINT_MOST or ident in host.idents:
-                raise ValueError("a figure out of range, or an id in hand")
-            inquiry = Inquiry(
-                tariff=tariff,
-                arrived=arrived,
-                due=max(arrived + tariff.hard_limit, now),
-                place=float(said[b"p"]),
-                caller=int(said[b"f"]),
-                further_try=b"r" in said,
-                cost=int(cost_ms * 1000),
-                size_kb=size_kb,
-            )
-            key = b""
-            if tariff.effect is Effect.RECEIPTED:
-                # Guards against the key of another: tries of one inquiry have its tariff and body as well.
-                key = said[b"k"] + blake2b(words[2] + b" " + body, digest_size=16).digest()
-        except (KeyError, ValueError) as wrong:
-            raise BadInquiryError(f"fields {words[3][:120]!r}: {wrong!r}") from wrong
-        case = Case(inquiry, ident, body, key, partial(self.answer, tag))
+        case, tenant = read_inquiry(words, self.door.host, self.door.tenants, partial(self.answer, tag))
         self.cases[tag] = case
         if self.flow is not None:
-            self.door.flows.belongs(self.flow, said.get(b"t", b""), tariff.name, inquiry.caller)
-        host.arrives(case)
+            self.door.flows.belongs(self.flow, tenant, case.inquiry.tariff.name, case.inquiry.caller)
+        self.door.host.arrives(case)
 
     def refuse_all(self, why: str) -> None:
         """What follows can't be read: the connection ends once what is open on it has its answers."""
-        if self.closing:
+        if self.deaf:
             return
         self.door.report.count("dispatchers", "broken framing")
         self.door.report.note(f"dispatchers: {why}; the connection is closed")
-        self.closing = True
-        self.transport.pauseProducing()
+        self.closing = self.deaf = True
         self.end_if_done()
 
+    def too_slow(self, why: str) -> None:
+        """Guards the descriptors. One that spoke is asked to go: should the rest come, it is taken."""
+        self.whole_by = None
+        self.door.report.count("dispatchers", "arrays too slow")
+        self.door.report.note(f"dispatchers: {why}; the connection is closed")
+        if self in self.door.strangers:
+            self.end()
+        else:
+            self.go_away()
+
+    def drop(self, size: int) -> None:
+        """Guards the processor against a flood on a connection that ends: past a bound it is not read."""
+        self.door.report.count("dispatchers", "bytes dropped", size)
+        self.dropped += size
+        if self.dropped > DROPPED_MOST:
+            self.transport.pauseProducing()
+
     # --- what goes --------------------------------------------------------------------------------
 
     def answer(self, tag: int, answer: Answer, result: bytes, span: int, last: bool) -> None:
@@ -296,14 +282,27 @@
 
     def end_if_done(self) -> None:
         if self.closing and not self.cases:
-            self.lose()
+            self.end()
 
-    def lose(self) -> None:
-        """Guards against a connection that never ends: one with a producer waits for it to go on."""
-        self.transport.unregisterProducer()
-        self.door.deadlines.cancel(self.unread)
+    def end(self) -> None:
+        """Guards what came and was not read yet: the reactor reads before this connection ends."""
+        self.door.deadlines.after(0, self.shut)
+
+    def shut(self, in_any_case: bool = False) -> None:
+        """Ends our side, unless something was read meanwhile that is owed an answer.
+
+        A connection with a producer would wait for that to go on.
+        """
+        if self.over or (self.cases and not in_any_case):
+            return
+        self.over, self.shut_at = True, self.door.deadlines.now()
+        for each in (self.whole_by, self.idle, self.unread):
+            self.door.deadlines.cancel(each)
+        self.door.strangers.pop(self, None)
         self.unread = self.door.deadlines.after(UNREAD_LONG, self.abort, "answers left unread")
-        self.transport.loseConnection()
+        self.transport.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
 
     # --- idle connections -------------------------------------------------------------------------
 
@@ -325,7 +324,7 @@
 
     def go_away(self) -> None:
         """The caller sends nothing more here and closes; if it does not, an unused connection is closed."""
-        if not self.going and not self.closing:
+        if not (self.going or self.closing or self.over):
             self.going = True
             self.write(array(b"0", b"goaway"))
             self.door.report.count("dispatchers", "sent goaway")
@@ -333,10 +332,18 @@
             self.idle = self.door.deadlines.after(CLOSE_AFTER, self.close_unused)
 
     def close_unused(self) -> None:
-        if self.cases:
-            self.idle = self.door.deadlines.after(CLOSE_AFTER, self.close_unused)
-        else:
-            self.lose()
+        """Once more after each end that something read meanwhile has put off."""
+        self.idle = self.door.deadlines.after(CLOSE_AFTER, self.close_unused)
+        if not self.cases:
+            self.end()
+
+
+class Listener(Port):
+    """Guards the descriptors: Twisted's own takes in a hundred at once, whatever room there is."""
+
+    def doRead(self) -> None:
+        self.numberAccepts = self.factory.may_accept()
+        super().doRead()
 
 
 class Dispatchers(Factory):
@@ -355,39 +362,88 @@
         self.host, self.deadlines, self.report = host, deadlines, report
         self.tenants = tenants
         self.flows = flows
-        self.most = max(1, descriptors - RESERVE)
+        self.most = max(1, descriptors - OWN - links_most(descriptors))
         self.connections: Slots[Connection] = Slots()
         self.strangers: dict[Connection, None] = {}  # those of whom nothing whole has come, oldest first
         self.idle_span = host.machine.connections_idle  # until the decisions say otherwise
         self.port: Any = None
+        self.accepts = True
         host.doors.append(self)
 
     def listen(self, reactor: Any, address: tuple[str, int]) -> None:
-        self.port = reactor.listenTCP(address[1], self, backlog=1024, interface=address[0])
+        self.port = Listener(address[1], self, BACKLOG, address[0], reactor)
+        self.port.startListening()
 
     def buildProtocol(self, addr: Any) -> Connection | None:
         """Guards the descriptors: where many are open, the one longest at rest is asked to go, checks too.
 
-        At the bound the oldest that said nothing is cut off, or the longest at rest. Harm: a caller that is
-        slow to send its first array may be cut off; nothing of it was read.
+        Near the bound one is ended for each that comes, and with half of the spare room left none is accepted
+        for the moment; those that wait have not been taken in. Harm: a caller that rests, or is slow to send
+        its first array, has to connect anew; nothing that came of it goes unread.
         """
-        if len(self.connections) >= CROWDED * self.most and (resting := self.longest_at_rest(REST_LEAST)):
+        count, spare = len(self.connections), self.most // SPARE
+        if count >= CROWDED * self.most and (resting := self.longest_at_rest(REST_LEAST, False)):
             resting.go_away()
-        if len(self.connections) >= self.most:
-            oldest = next(iter(self.strangers), None) or self.longest_at_rest(REST_CUT)
-            if oldest is None:
-                self.report.count("dispatchers", "connections too many")
-                return None
-            self.strangers.pop(oldest, None)
-            oldest.abort("room for others")
+        if count >= self.most - spare:
+            self.make_room()
+        if count >= self.most:
+            self.report.count("dispatchers", "connections too many")
+            return None
+        if count + 1 >= self.full_at():
+            self.accept(False)
         return Connection(self)
 
-    def longest_at_rest(self, span: int) -> Connection | None:
+    def full_at(self) -> int:
+        return max(1, self.most - self.most // SPARE // 2)
+
+    def may_accept(self) -> int:
+        """How many at once: the reactor reads what these say before it takes in more."""
+        return max(1, self.full_at() - len(self.connections))
+
+    def accept(self, on: bool) -> None:
+        if on is self.accepts or self.port is None:
+            return
+        self.accepts = on
+        if on:
+            self.port.resumeProducing()
+        else:
+            self.report.count("dispatchers", "times full")
+            self.port.pauseProducing()
+            self.deadlines.after(ROOM_AGAIN, self.look_for_room)
+
+    def look_for_room(self) -> None:
+        if not self.accepts and self.port is not None:
+            self.make_room()
+            self.deadlines.after(ROOM_AGAIN, self.look_for_room)
+
+    def has_room(self) -> None:
+        if len(self.connections) < self.full_at():
+            self.accept(True)
+
+    def make_room(self) -> None:
+        """Ends the oldest that said nothing, or the longest at rest, and is done with those that linger."""
+        now = self.deadlines.now()
+        for each in self.connections:
+            if each.shut_at is not None and each.shut_at < now - REST_CUT:
+                each.transport.abortConnection()
+        oldest = next(iter(self.strangers), None)
+        if oldest is None or oldest.last_traffic >= now - REST_CUT:
+            oldest = self.longest_at_rest(REST_CUT, True)
+        if oldest is not None:
+            self.report.count("dispatchers", "ended for room")
+            self.strangers.pop(oldest, None)
+            oldest.closing = True
+            oldest.end()
+
+    def longest_at_rest(self, span: int, going: bool) -> Connection | None:
+        """`going`: may it be one that was asked to go already."""
         before = self.deadlines.now() - span
         resting = [
             each
             for each in self.connections
-            if each.last_traffic < before and not (each.cases or each.going or each.closing)
+            if each.last_traffic < before
+            and not (each.cases or each.closing or each.over)
+            and (going or not each.going)
         ]
         return min(resting, key=lambda each: each.last_traffic, default=None)
 
@@ -408,9 +464,16 @@
         for connection in self.connections:
             connection.go_away()
 
+    def shut(self) -> None:
+        for connection in self.connections:
+            connection.shut(in_any_case=True)
+
     def stop_listening(self) -> None:
-        """Guards what waits to be accepted: it is taken in before the listener closes."""
+        """Guards what waits to be accepted: it is taken in before the listener closes, lot by lot."""
         if self.port is not None:
             self.port, port = None, self.port
-            port.doRead()
+            before = -1
+            while before != self.report.counts["dispatchers connections"]:
+                before = self.report.counts["dispatchers connections"]
+                port.doRead()
             port.stopListening()
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -93,6 +93,7 @@
         self.idents: set[bytes] = set()  # of the cases in hand
         self.node: Node | None = None
         self.leaves_at: int | None = None
+        self.notice_at = 0  # when it was told to leave: the grace counts from then
         self.stirred = False
         self.shares: list[Case] = []  # whose outcome was there already when they were to share it
         self.healthy = True
@@ -131,7 +132,7 @@
         self.node.may_record(self.clock(), self.able and self.trusted)
         self.node.may_serve(self.clock(), self.open_share)
         if self.leaves_at is not None:
-            self.node.must_leave(self.clock(), self.leaves_at)
+            self.node.must_leave(self.notice_at, self.leaves_at)
         self.stir()
 
     def arrives(self, case: Case) -> None:
@@ -239,9 +240,9 @@
 
     def must_leave(self, at: int) -> None:
         if self.leaves_at is None:
-            self.leaves_at = at
+            self.leaves_at, self.notice_at = at, self.clock()
             if self.node is not None:
-                self.node.must_leave(self.clock(), at)
+                self.node.must_leave(self.notice_at, at)
                 self.stir()
 
     def wake(self) -> None:
--- /dev/null
+++ b/lichencleat/net/inquiries.py
@@ -0,0 +1,92 @@
+"""An inquiry read from its array: every field in its form and range, and the key that tells its repeats."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable
+from hashlib import blake2b
+
+from lichencleat.net.host import Case, Host
+from lichencleat.terms import Effect, Inquiry
+
+BODY_MOST = 2_048  # bytes, by the protocol
+AHEAD_MOST = 1_000_000  # µs that an arrival may lie ahead of our clock, which is the same machine's
+BEHIND_MOST = 10_000_000  # µs past its hard limit that one may be read, by a machine that paused
+HINT_MOST = 60_000.0  # ms of work that a caller may expect: ten times the longest wait for an answer
+SIZE_MOST = 2_000.0  # KB booked for an inquiry, by the protocol
+KEY_MARK = 16  # bytes: no two marks meet by chance, nor by a hostile caller's choice
+FORMS = {  # of the fields, by the protocol: nothing that merely converts
+    b"i": re.compile(rb"[0-9a-fA-F]{16}"),
+    b"s": re.compile(rb"[0-9]{1,15}"),
+    b"f": re.compile(rb"[0-9]{1,9}"),
+    b"h": re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"),
+    b"m": re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?"),
+    b"p": re.compile(rb"0(\.[0-9]{1,9})?"),
+    b"k": re.compile(rb"[0-9a-fA-F]{32}"),
+    b"r": re.compile(rb"1"),
+}
+
+
+class BadInquiryError(Exception):
+    """An array that is none; its text says what is wrong."""
+
+
+def fields(text: bytes) -> dict[bytes, bytes]:
+    """Guards the decisions against figures that none means: each field once, in its form."""
+    pairs = [each.split(b"=", 1) for each in text.split(b",")]
+    said = dict(pairs)
+    if len(said) < len(pairs):
+        raise ValueError("a field comes twice")
+    for name, value in said.items():
+        form = FORMS.get(name)
+        if form is not None and not form.fullmatch(value):
+            raise ValueError(f"{name!r} reads {value[:40]!r}")
+    return said
+
+
+def read_inquiry(
+    words: list[bytes], host: Host, tenants: frozenset[bytes], reply: Callable[..., None]
+) -> tuple[Case, bytes]:
+    """The inquiry in hand, and its tenant. Raises BadInquiryError with what is wrong."""
+    if not 4 <= len(words) <= 5:
+        raise BadInquiryError(f"{len(words)} words")
+    body = words[4] if len(words) == 5 else b""
+    tariff = host.tariffs.get(words[2])
+    if tariff is None or len(body) > BODY_MOST:
+        raise BadInquiryError(f"tariff {words[2][:40]!r}, body of {len(body)} bytes")
+    now = host.clock()
+    try:
+        said = fields(words[3])
+        ident, came, tenant = said[b"i"], int(said[b"s"]) * 1000, said.get(b"t", b"")
+        arrived, size_kb, cost_ms = min(came, now), float(said[b"m"]), float(said.get(b"h", 0))
+        if tenants and tenant not in tenants:
+            raise ValueError("no such tenant")
+        if not now - BEHIND_MOST - tariff.hard_limit <= came <= now + AHEAD_MOST:
+            raise ValueError("not of this time")
+        if not 0 < size_kb < SIZE_MOST or cost_ms > HINT_MOST or ident in host.idents:
+            raise ValueError("a figure out of range, or an id in hand")
+        inquiry = Inquiry(
+            tariff=tariff,
+            arrived=arrived,
+            due=max(arrived + tariff.hard_limit, now),
+            place=float(said[b"p"]),
+            caller=int(said[b"f"]),
+            further_try=b"r" in said,
+            cost=int(cost_ms * 1000),
+            size_kb=size_kb,
+        )
+        key = said[b"k"] + mark(tenant, words[2], body) if tariff.effect is Effect.RECEIPTED else b""
+    except (KeyError, ValueError) as wrong:
+        raise BadInquiryError(f"fields {words[3][:120]!r}: {wrong!r}") from wrong
+    return Case(inquiry, ident, body, key, reply), tenant
+
+
+def mark(*parts: bytes) -> bytes:
+    """Guards against the key of another: tries of one inquiry have its tenant, tariff and body as well.
+
+    Each part goes in with its length, so that no two lots of parts read alike.
+    """
+    digest = blake2b(digest_size=KEY_MARK)
+    for part in parts:
+        digest.update(b"%d:" % len(part) + part)
+    return digest.digest()
--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -20,6 +20,9 @@
 EARLY_MOST = 4_000  # ends of runs that an earlier life began, until it is known which: as many as are told
 REPLACED_STAYS = 2_000_000  # µs that a replaced link may stay open: the other side ends it after 1.5 s
 SILENT = 2_000_000  # µs without gauges, asked for ten times a second: to connect anew does no harm
+KEPT_MOST = 4_000  # notices that are kept, by the protocol: a number further ahead was spoilt on the way
+SPAN_MOST = 31_536_000_000.0  # ms, a year: no run takes longer, and no interpreter is up for longer
+STATES = (b"EMPTY", b"LOADED")
 KINDS = (b"VALUE", b"AWAIT", b"TRACE", b"TOPS", b"BANNER", b"ERROR")
 OUTCOMES = {
     b"PASS": Outcome.COMPLETED,
@@ -30,6 +33,25 @@
 CARRIES_BODY = {b"VALUE": 6, b"AWAIT": 4}  # words of a notice whose last one is a length
 
 
+def whole(word: bytes) -> int:
+    """Guards against what merely converts: signs, underscores, thousands of digits."""
+    if not word.isdigit() or len(word) > 18:
+        raise ValueError(f"no number: {word[:40]!r}")
+    return int(word)
+
+
+def figure(word: bytes) -> float:
+    """Guards the decisions against figures that are none: a run that took `nan` ms would never be over."""
+    value = float(word)
+    if not 0 <= value <= SPAN_MOST:
+        raise ValueError(f"no figure: {word[:40]!r}")
+    return value
+
+
+def micros(word: bytes) -> int:
+    return int(figure(word) * 1000)
+
+
 class Run:
     """One run: who hears of it, and the last command about it that no notice has confirmed."""
 
@@ -268,20 +290,22 @@
             if link is not self.link:
                 return
             if kind in (b"VALUE", b"AWAIT", b"TRACE"):
-                number = int(words[1])
+                number = whole(words[1])
                 if number <= self.last_notice:
                     self.report.count("interpreter", "notices come again")
                     return
+                if number > self.last_notice + KEPT_MOST:
+                    raise ValueError("a number far ahead")
                 self.last_notice = number
             self.report.count("interpreter", "got " + (kind.decode() if kind in KINDS else "unknown notices"))
             if kind == b"VALUE":
-                self.over(words[2], words[3], float(words[4]), body)
+                self.over(words[2], words[3], micros(words[4]), body)
             elif kind == b"AWAIT":
                 self.waits(words[2], body)
             elif kind == b"TOPS":
-                self.told(link, words[1], [float(each) for each in words[2:]])
+                self.told(link, words[1], [figure(each) for each in words[2:]])
             elif kind == b"BANNER":
-                self.banner(link, words[1], float(words[2]))
+                self.banner(link, words)
             elif kind == b"ERROR":
                 self.erred(words)
             elif kind != b"TRACE":
@@ -292,11 +316,20 @@
         except Exception:
             self.report.trouble(f"the notice {kind[:16]!r}")
 
-    def banner(self, link: Link, state: bytes, age_ms: float) -> None:
-        self.report.note(f"interpreter: {state.decode('ascii', 'replace')}, up for {age_ms:.0f} ms")
+    def banner(self, link: Link, words: list[bytes]) -> None:
+        """Guards the start against a banner that can't be read: without one, no command would ever go out."""
+        try:
+            state, age = words[1], micros(words[2])
+            if state not in STATES:
+                raise ValueError("no state")
+        except (ValueError, IndexError):
+            self.report.count("interpreter", "banners unreadable")
+            self.deadlines.after(AGAIN, link.transport.abortConnection)
+            raise
+        self.report.note(f"interpreter: {state.decode()}, up for {age // 1000} ms")
         self.report.count("interpreter", "banners")
         link.ask_gauges(b"sync").addCallback(lambda got: got is not None and self.renew(link))
-        self.began(int(age_ms * 1000))
+        self.began(age)
         if self.up is not None:
             self.up, up = None, self.up
             up.callback(state == b"EMPTY")
@@ -315,17 +348,17 @@
         run.command, run.begun = [], True
         run.waits(body)
 
-    def over(self, ident: bytes, end: bytes, took_ms: float, result: bytes) -> None:
+    def over(self, ident: bytes, end: bytes, took: int, result: bytes) -> None:
         if end not in OUTCOMES:
             raise ValueError(f"unknown end {end!r}")
         run = self.runs.pop(ident, None)
         if run is None:
             self.report.count("interpreter", "notices of no run")
             if self.early is not None and len(self.early) < EARLY_MOST:
-                self.early[ident] = OUTCOMES[end], int(took_ms * 1000), result
+                self.early[ident] = OUTCOMES[end], took, result
             return
         self.report.count("interpreter", "ended " + end.decode())
-        run.ended(OUTCOMES[end], int(took_ms * 1000), result)
+        run.ended(OUTCOMES[end], took, result)
 
     def erred(self, words: list[bytes]) -> None:
         """A command that was not carried out: to begin a run or to stop it proves that there is none.
--- a/lichencleat/net/receipts.py
+++ b/lichencleat/net/receipts.py
@@ -7,9 +7,7 @@
 from lichencleat.net.deadlines import Deadline, Deadlines
 from lichencleat.terms import Inquiry, State
 
-READ_LATE = (
-    10_000_000  # µs that an entry is kept past its time, for tries that came before and are read after
-)
+READ_LATE = 10_000_000  # µs, and the hard limit: as late as a try that came in time may be read, or a run end
 
 
 class Receipt:
@@ -50,9 +48,7 @@
         return receipt.inquiry if receipt is not None and receipt.leads(inquiry.arrived) else None
 
     def enter(self, key: bytes, inquiry: Inquiry) -> Receipt:
-        replaced = self.by_key.get(key)
-        if replaced is not None and not replaced.sharers:
-            self.forget(replaced)
+        """The one before of that key stays with its inquiry: a repeat that came in time may yet share it."""
         receipt = self.by_key[key] = self.by_inquiry[inquiry] = Receipt(key, inquiry)
         return receipt
 
@@ -60,7 +56,8 @@
         receipt = self.by_inquiry.get(inquiry) or self.enter(key, inquiry)
         receipt.until = now + span
         self.deadlines.cancel(receipt.gone)
-        receipt.gone = self.deadlines.after(span + READ_LATE, self.forget, receipt)
+        late = READ_LATE + inquiry.tariff.hard_limit
+        receipt.gone = self.deadlines.after(span + late, self.forget, receipt)
 
     def unrecord(self, inquiry: Inquiry) -> None:
         """Its entry was not made after all: until it is recorded again, it counts while it is in hand."""
--- /dev/null
+++ b/tests/net/conftest.py
@@ -0,0 +1,111 @@
+"""Fixtures of the node's parts."""
+
+import random
+
+import pytest
+from net_parts import ID, SECOND, Reactor, Transport
+
+from lichencleat.decide import Node
+from lichencleat.net.catalogue import Catalogue
+from lichencleat.net.deadlines import Deadlines
+from lichencleat.net.dispatchers import Connection, Dispatchers
+from lichencleat.net.host import Case, Host
+from lichencleat.net.interpreter import Interpreter, Link, Run
+from lichencleat.net.report import Report
+from lichencleat.terms import Effect, Inquiry, Machine, Tariff
+
+
+@pytest.fixture
+def reactor():
+    return Reactor()
+
+
+@pytest.fixture
+def report(reactor):
+    return Report("n1", lambda: int(reactor.seconds() * SECOND))
+
+
+@pytest.fixture
+def deadlines(reactor, report):
+    return Deadlines(reactor, report.trouble)
+
+
+@pytest.fixture
+def tariff():
+    return Tariff("look", soft_limit=2 * SECOND, hard_limit=5 * SECOND)
+
+
+@pytest.fixture
+def receipted():
+    return Tariff("save", Effect.RECEIPTED, soft_limit=2 * SECOND, hard_limit=5 * SECOND, window=9 * SECOND)
+
+
+@pytest.fixture
+def host(reactor, deadlines, report, tariff, receipted):
+    machine = Machine(cores=2, memory_kb=10_000.0, tariffs=[tariff, receipted])
+    made = Host(
+        machine,
+        [],
+        "5",
+        lambda: int(reactor.seconds() * SECOND),
+        deadlines,
+        Interpreter(reactor, ("", 0), deadlines, report),
+        Catalogue(reactor, ("", 0), deadlines, report),
+        report,
+    )
+    made.node = Node(machine, random.Random(1))
+    return made
+
+
+@pytest.fixture
+def answers():
+    return []
+
+
+@pytest.fixture
+def case(host, tariff, answers):
+    made = Case(Inquiry(tariff, 0, 5 * SECOND), ID, b"x", b"", lambda *answer: answers.append(answer[0]))
+    made.inquiry.number = host.cases.take(made)
+    return made
+
+
+@pytest.fixture
+def connection(host, deadlines, report):
+    made = Connection(Dispatchers(host, deadlines, report, 100))
+    made.makeConnection(Transport())
+    return made
+
+
+@pytest.fixture
+def link(reactor, deadlines, report):
+    made = Link(Interpreter(reactor, ("", 0), deadlines, report))
+    made.interpreter.link = made
+    made.makeConnection(Transport())
+    made.transport.clear()
+    made.ready = True
+    return made
+
+
+@pytest.fixture
+def run():
+    heard = []
+    made = Run(ID, lambda *what: heard.append(what), lambda *what: heard.append(what))
+    return made, heard
+
+
+@pytest.fixture
+def catalogue(reactor, deadlines, report):
+    return Catalogue(reactor, ("", 0), deadlines, report)
+
+
+@pytest.fixture
+def place(reactor, catalogue):
+    def place(spent=(), connected=True):
+        known = len(catalogue.links)
+        call, heard = catalogue.fetch(ID, SECOND, b"x", list(spent)), []
+        call.ended.addCallback(heard.append)
+        if connected and len(catalogue.links) > known:
+            call.link.makeConnection(Transport())
+        return call, heard
+
+    return place
--- /dev/null
+++ b/tests/net/test_connections.py
@@ -0,0 +1,181 @@
+"""Parts of the real node, with a clock and transports in memory: connections."""
+
+import pytest
+from net_parts import CHECK, ID, INQUIRY, SECOND, Transport
+
+from lichencleat.net.dispatchers import BAD_MOST, Dispatchers
+from lichencleat.net.host import Answer
+from lichencleat.net.inquiries import mark
+from lichencleat.net.membership import Membership
+
+
+def test_after_its_leave_the_node_reports_no_more(reactor, deadlines, report):
+    membership, sent = Membership("n1", ("", 0), deadlines, report), []
+    membership.transport = membership.port = Transport()
+    membership.transport.write = lambda datagram, address: sent.append(datagram)
+    membership.beat()
+    membership.leave()
+    reactor.advance(5)
+    assert sent == [b"HB n1 UP", b"HB n1 OUT"]
+
+
+def test_an_inquiry_under_an_id_in_hand_is_given_up(connection):
+    connection.dataReceived(INQUIRY % ID)
+    connection.dataReceived(INQUIRY.replace(b"$1\r\n7", b"$1\r\n8") % ID)
+    assert list(connection.cases) == [7] and b"$1\r\n8\r\n$3\r\n500" in connection.transport.value()
+
+
+def test_answers_that_nobody_reads_end_the_connection(connection, reactor):
+    connection.dataReceived(CHECK)
+    connection.pauseProducing()
+    reactor.advance(11)
+    reactor.advance(0)
+    assert connection.transport.aborted
+
+
+def test_an_error_at_an_arrival_is_answered_and_leaves_nothing_behind(connection, host, report):
+    host.node.arrives = lambda now, inquiry: 1 / 0
+    connection.dataReceived(INQUIRY % ID)
+    assert b"500" in connection.transport.value() and report.counts["node errors"] == 1
+    assert not connection.cases and not len(host.cases) and not host.idents
+
+
+def test_a_tag_in_use_ends_the_connection_after_its_answer(connection, reactor):
+    connection.dataReceived(INQUIRY % ID)
+    connection.dataReceived(INQUIRY % b"00000000000000b2")
+    reactor.advance(0)
+    assert len(connection.cases) == 1 and not connection.transport.ended
+    connection.cases[7].reply(Answer.HONOURED, b"x", 0, False)
+    reactor.advance(0)
+    assert connection.transport.ended and connection.transport.producer is None
+
+
+def test_idle_connections_are_sent_away_and_closed_but_none_with_something_open(connection, reactor):
+    connection.checks_only = False
+    connection.cases[1] = None
+    connection.door.close_idle(100_000)
+    for _ in range(10):
+        reactor.advance(0.06)
+    assert not connection.transport.value()
+    connection.cases.clear()
+    for _ in range(20):
+        reactor.advance(0.06)
+    assert b"goaway" in connection.transport.value() and connection.transport.ended
+
+
+def test_connections_at_rest_are_asked_to_go_where_there_are_many_checks_too(connection, reactor):
+    connection.dataReceived(CHECK)
+    connection.door.most = 1
+    connection.door.buildProtocol(None)
+    assert b"goaway" not in connection.transport.value()
+    reactor.advance(2)
+    connection.door.buildProtocol(None)
+    assert b"goaway" in connection.transport.value()
+
+
+def test_a_connection_that_was_asked_to_go_leaves_no_timer_behind(connection, reactor, deadlines):
+    connection.door.idle_span = 30 * SECOND
+    connection.watch_idle()
+    connection.dataReceived(CHECK)
+    connection.go_away()
+    reactor.advance(1)
+    reactor.advance(0)
+    connection.connectionLost()
+    assert not [entry for entry in deadlines.heap if entry[2].call]
+
+
+@pytest.mark.parametrize("sent", [b"", b"*2\r\n$3\r\nRE", CHECK + b"*5\r\n", CHECK + b"*1\r\n$3\r\n"])
+def test_what_stays_without_a_whole_array_is_closed(connection, reactor, sent):
+    connection.dataReceived(sent)
+    for _ in range(8):
+        reactor.advance(0.2)
+        connection.dataReceived(b"")
+    assert connection.transport.ended
+
+
+def test_a_check_and_then_silence_keep_their_connection(connection, reactor):
+    connection.dataReceived(CHECK)
+    reactor.advance(5)
+    assert not connection.transport.disconnecting and not connection.transport.ended
+
+
+def test_a_caller_that_sends_unusable_arrays_is_closed_after_a_few(connection, reactor):
+    bad = b"*2\r\n$3\r\nODD\r\n$1\r\n%d\r\n"
+    connection.dataReceived(b"".join(bad % tag for tag in range(1, 9)))
+    reactor.advance(0)
+    assert connection.transport.value().count(b"500") == BAD_MOST and connection.transport.ended
+
+
+def test_a_tag_of_thousands_of_digits_ends_its_connection(connection, report, reactor):
+    connection.dataReceived(b"*2\r\n$6\r\nHEALTH\r\n$4000\r\n%s\r\n" % (b"1" * 4000))
+    reactor.advance(0)
+    assert connection.transport.ended and not report.counts["node errors"]
+
+
+def test_more_inquiries_than_a_connection_carries_are_answered_as_failed(connection):
+    connection.cases = dict.fromkeys(range(100, 132))
+    connection.dataReceived(INQUIRY % ID)
+    assert b"500" in connection.transport.value()
+
+
+def test_the_key_of_an_inquiry_with_another_body_is_another_key(connection, host):
+    host.clock = lambda: SECOND
+    for tag, ident, body in ((1, ID, b"x"), (2, b"00000000000000b2", b"y"), (3, b"00000000000000c3", b"x")):
+        said = b"i=%s,s=1000,f=1,m=9,p=0.5,k=%s" % (ident, b"5c" * 16)
+        connection.take([b"REQ", b"%d" % tag, b"save", said, body])
+    first, other, repeat = (each.inquiry for each in connection.cases.values())
+    assert repeat.repeats is first and other.repeats is None
+
+
+def test_the_key_of_another_tenant_is_another_key_and_no_lot_of_parts_reads_like_another(connection, host):
+    host.clock = lambda: SECOND
+    connection.door.tenants = frozenset([b"acme", b"other"])
+    for tag, tenant in ((1, b"acme"), (2, b"other"), (3, b"acme")):
+        said = b"i=%016d,s=1000,f=1,m=9,p=0.5,t=%s,k=%s" % (tag, tenant, b"5c" * 16)
+        connection.take([b"REQ", b"%d" % tag, b"save", said, b"x"])
+    first, other, repeat = (each.inquiry for each in connection.cases.values())
+    assert repeat.repeats is first and other.repeats is None
+    assert mark(b"", b"a", b"b c") != mark(b"", b"a b", b"c") != mark(b"a", b"b", b"c")
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        "i=0x000000000000a1",
+        "i=" + "a" * 16 + ",i=" + "b" * 16,
+        "m=2000",
+        "m=0",
+        "m=1e2",
+        "p=1",
+        "p=-0.1",
+        "h=nan",
+    ]
+    + ["h=60001", "s=99000", "s=-1", "f=", "f=1_0", "t=nobody", "r=2"],
+)
+def test_no_field_that_is_out_of_form_or_range_reaches_the_decisions(connection, host, said):
+    host.clock = lambda: 50 * SECOND
+    connection.door.tenants = frozenset([b"acme"])
+    good = {"i": "00000000000000a1", "s": 50_000, "f": 1, "m": 9, "p": 0.5, "t": "acme"}
+    name = said.split("=")[0]
+    text = ",".join([f"{key}={value}" for key, value in good.items() if key != name] + [said]).encode()
+    connection.take([b"REQ", b"1", b"look", text, b"x"])
+    assert not connection.cases and b"500" in connection.transport.value()
+    connection.take([b"REQ", b"2", b"look", ",".join(f"{k}={v}" for k, v in good.items()).encode(), b"x"])
+    assert list(connection.cases) == [2]
+
+
+def test_a_caller_at_rest_for_longer_than_told_is_sent_away_from_the_start(
+    connection, host, deadlines, report
+):
+    host.machine.connections_idle = 30 * SECOND
+    assert Dispatchers(host, deadlines, report, 100).idle_span == 30 * SECOND
+
+
+def test_a_moved_service_hears_of_the_node_at_once_but_not_of_one_that_left(deadlines, report):
+    membership, sent = Membership("n1", ("", 0), deadlines, report), []
+    membership.transport = membership.port = Transport()
+    membership.transport.write = lambda datagram, address: sent.append(address)
+    membership.beat()
+    assert membership.move(("", 1)) and sent == [("", 0), ("", 1)]
+    membership.leave()
+    assert membership.move(("", 2)) and len(sent) == 3
--- /dev/null
+++ b/tests/net/test_ends.py
@@ -0,0 +1,101 @@
+"""Parts of the real node, with a clock and transports in memory: how connections end."""
+
+import pytest
+from net_parts import CHECK, ID, INQUIRY, Transport
+
+from lichencleat.net.catalogue import links_most
+from lichencleat.net.dispatchers import OWN, SPARE, Dispatchers
+from lichencleat.net.host import Answer
+
+
+def test_near_the_bound_the_oldest_that_said_nothing_ends_and_none_is_cut_off(connection, reactor):
+    door, listening = connection.door, []
+    door.port = type("Port", (), {})()
+    door.port.pauseProducing = lambda: listening.append(False)
+    door.port.resumeProducing = lambda: listening.append(True)
+    door.most = 16  # two of them spare
+    reactor.advance(0.1)
+    others = [door.buildProtocol(None) for _ in range(13)]
+    for each in others:
+        each.makeConnection(Transport())
+    reactor.advance(0)
+    assert not connection.transport.ended and not listening  # as many as there may be
+    others.append(door.buildProtocol(None))
+    others[-1].makeConnection(Transport())
+    reactor.advance(0)
+    assert connection.transport.ended and not connection.transport.aborted
+    assert not any(each.transport.ended for each in others)  # they may have written what was not read yet
+    assert listening == [False]  # with one spare place left, those that come wait for it
+    connection.connectionLost()
+    assert listening == [False, True]
+
+
+def test_what_came_before_the_end_is_read_before_it_and_puts_it_off(connection, reactor):
+    connection.end()
+    connection.dataReceived(INQUIRY % ID)  # the reactor reads once between the two steps
+    reactor.advance(0)
+    assert list(connection.cases) == [7] and not connection.transport.ended
+
+
+def test_what_crosses_the_end_is_dropped_and_never_run(connection, reactor, host):
+    connection.end()
+    reactor.advance(0)
+    assert connection.transport.ended
+    connection.dataReceived(INQUIRY % ID)
+    assert not connection.cases and not len(host.cases) and not connection.transport.value()
+    connection.writeConnectionLost()
+    assert not connection.transport.disconnecting  # the caller has its time to read and to end its side
+    reactor.advance(1.1)
+    reactor.advance(0)
+    assert connection.transport.disconnecting and not connection.transport.aborted
+
+
+def test_a_caller_asked_to_go_whose_inquiry_crossed_that_is_answered_and_then_ended(connection, reactor):
+    connection.dataReceived(CHECK)
+    connection.go_away()
+    connection.dataReceived(INQUIRY % ID)
+    for _ in range(5):
+        reactor.advance(0.3)
+    assert not connection.transport.ended
+    connection.cases[7].reply(Answer.HONOURED, b"x", 0, False)
+    for _ in range(3):
+        reactor.advance(0.3)
+    assert connection.transport.ended
+
+
+def test_an_array_that_came_slowly_still_counts_until_its_connection_ends(connection, reactor):
+    connection.dataReceived(CHECK + (INQUIRY % ID)[:40])
+    reactor.advance(1.1)
+    reactor.advance(0)
+    assert b"goaway" in connection.transport.value()
+    connection.dataReceived((INQUIRY % ID)[40:])
+    assert list(connection.cases) == [7]
+
+
+def test_an_abort_is_heard_on_a_connection_that_is_to_end(connection, reactor, host):
+    connection.dataReceived(INQUIRY % ID)
+    connection.go_away()
+    connection.dataReceived(b"*2\r\n$5\r\nABORT\r\n$1\r\n7\r\n")
+    assert not connection.cases and not host.owed()
+
+
+def test_a_flood_on_a_connection_that_ends_is_not_read_for_ever(connection):
+    connection.refuse_all("no array")
+    for _ in range(20):
+        connection.dataReceived(b"x" * 16_384)
+    assert connection.transport.producerState == "paused"
+
+
+def test_a_caller_that_ended_its_side_is_gone_and_what_was_written_goes_out(connection, reactor, host):
+    connection.dataReceived(CHECK + INQUIRY % ID)
+    connection.readConnectionLost()
+    assert not connection.cases and not host.owed()
+    assert connection.transport.disconnecting and connection.transport.producer is None
+    assert not connection.transport.aborted
+
+
+@pytest.mark.parametrize("descriptors", [64, 96, 128, 512, 1024])
+def test_callers_may_take_half_of_the_descriptors_whatever_their_number(host, deadlines, report, descriptors):
+    door = Dispatchers(host, deadlines, report, descriptors)
+    assert descriptors // 2 < door.most - door.most // SPARE
+    assert door.most + links_most(descriptors) + OWN <= descriptors
--- /dev/null
+++ b/tests/net/test_timers_and_log.py
@@ -0,0 +1,78 @@
+"""Parts of the real node, with a clock and transports in memory: timers, slots, log."""
+
+import gc
+import weakref
+
+import pytest
+from net_parts import SECOND
+
+from lichencleat.net.program import TIDY, tidy
+from lichencleat.net.report import LINES_MOST
+from lichencleat.net.slots import Slots
+
+
+def test_a_slot_goes_to_the_next_and_is_given_back_once():
+    slots = Slots()
+    first = slots.take("a")
+    slots.give_back(first)
+    with pytest.raises(KeyError):
+        slots.give_back(first)
+    assert slots.take("b") == first and list(slots) == ["b"] and len(slots) == 1
+
+
+def test_deadlines_fire_in_order_and_not_once_cancelled(reactor, deadlines):
+    fired = []
+    for span in (30, 10, 20):
+        deadlines.after(span * 1000, fired.append, span)
+    deadlines.cancel(deadlines.after(15_000, fired.append, 15))
+    for _ in range(4):
+        reactor.advance(0.01)
+    assert fired == [10, 20, 30]
+
+
+def test_after_a_pause_the_reactor_reads_before_what_is_late(reactor, deadlines):
+    fired = []
+    deadlines.after(10_000, fired.append, "late")
+    reactor.rightNow += 1
+    deadlines.fire()
+    assert not fired  # what the reactor does between these two is to read
+    deadlines.fire()
+    assert fired == ["late"]
+
+
+def test_cancelled_deadlines_do_not_pile_up(deadlines):
+    for _ in range(1000):
+        deadlines.cancel(deadlines.after(SECOND, print))
+    assert len(deadlines.heap) < 200
+
+
+def test_an_error_in_a_timer_is_counted_and_the_others_fire(reactor, deadlines, report):
+    fired = []
+    deadlines.after(1000, lambda: 1 / 0)
+    deadlines.after(1000, fired.append, 1)
+    reactor.advance(0.01)
+    assert fired == [1] and report.counts["node errors"] == 1
+
+
+def test_log_lines_are_rate_limited_and_the_rest_counted(report, reactor, capsys):
+    for _ in range(LINES_MOST + 5):
+        report.note("x")
+    reactor.advance(2)
+    report.note("y")
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == LINES_MOST + 1 and "+5 lines" in lines[-1]
+
+
+def test_what_is_closed_does_not_wait_for_the_collectors_own_moment(deadlines, reactor):
+    class Closed:
+        pass
+
+    gc.disable()
+    tidy(deadlines)
+    closed = Closed()
+    closed.itself, seen = closed, weakref.ref(closed)
+    del closed
+    assert seen()
+    reactor.advance(TIDY / SECOND + 0.01)
+    gc.enable()
+    assert not seen()
--- /dev/null
+++ b/tests/net_parts.py
@@ -0,0 +1,39 @@
+"""What the tests of the node's parts share: a transport and a reactor in memory, arrays of callers."""
+
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+SECOND = 1_000_000
+ID = b"00000000000000a1"
+INQUIRY = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$4\r\nlook\r\n$36\r\ni=%s,s=1,f=1,m=9,p=0.5\r\n$1\r\nx\r\n"
+CHECK = b"*3\r\n$6\r\nHEALTH\r\n$1\r\n9\r\n$0\r\n\r\n"
+
+
+class Transport(StringTransport):
+    """As a TCP one, which also can be cut off, or ended on this side alone."""
+
+    aborted = ended = False
+
+    def loseWriteConnection(self):
+        self.ended = True
+
+    def setTcpNoDelay(self, on):
+        pass
+
+    def abortConnection(self):
+        self.aborted = True
+
+
+class Reactor(Clock):
+    """Twisted's clock, and connections that the test makes itself."""
+
+    def __init__(self):
+        super().__init__()
+        self.connects = []
+
+    def connectTCP(self, host, port, factory, timeout):
+        self.connects.append(factory)
+        return self
+
+    def stopConnecting(self):
+        pass
