Build: leaves the program's bytecode, as a node's file system is read-only

Need: each start of a node compiled all 41 modules that it loads, and threw the result away. Looked at by -X importtime: of 0.31 s of imports Twisted takes 0.22, which a library's install has compiled already; the rest is ours and was compiled anew. The test fails with the build as it was.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,11 +1,16 @@
 """The program as `run` starts it, spoken to over sockets."""
 
+import os
+import shutil
 import signal
 import socket
+import subprocess
+import sys
 import time
+import tomllib
 
 import pytest
-from standins import PATIENCE, Program, array, inquiry
+from standins import PATIENCE, ROOT, Program, array, inquiry
 
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
@@ -235,3 +240,21 @@
         code, _, err = started.end()
         started.close()
     assert code == 2 and len(err.splitlines()) == 1 and "listen" in err
+
+
+def test_the_build_leaves_bytecode_that_a_start_finds_and_that_follows_its_source(tmp_path):
+    deployment = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    command = deployment["build"].rsplit("&&", 1)[1].strip()
+    shutil.copytree(
+        ROOT / "lichencleat", tmp_path / "lichencleat", ignore=shutil.ignore_patterns("__pycache__")
+    )
+    assert command.startswith(".venv/bin/python ")
+    subprocess.run([sys.executable, *command.split()[1:]], cwd=tmp_path, check=True)
+    start = [sys.executable, "-B", "-v", "-c", "import lichencleat.net.program"]
+    said = subprocess.run(start, cwd=tmp_path, capture_output=True, text=True, check=True).stderr
+    found = [line for line in said.splitlines() if " matches " in line and str(tmp_path) in line]
+    assert any("net/program.py" in line for line in found) and any("decide.py" in line for line in found)
+    changed = tmp_path / "lichencleat" / "net" / "program.py"
+    changed.write_text(changed.read_text() + "\nprint('changed')\n")
+    os.utime(changed, (1, 1))  # whatever the time of the file says
+    assert subprocess.run(start, cwd=tmp_path, capture_output=True, text=True).stdout == "changed\n"
