Decisions: what a cold node tells holds as a sum over all who hear it

Need: a cold server must not fall under the sum of what all senders do on what they heard; beyond N only 2 x root of N + 2 are chance, with 1, 5 and 30 of them. And: repeats that wait for one run took memory without a bound.

Ruled out: calls to something shared that is cold below. 1, 5 and 30 nodes that start at once, with a dependency that answers in 0.1 s or never, hold under N + 2 x root of N + 2 in its time with the module before and after. A tier below has no budget in the settings: nothing to hold a sum against; its nodes turn away by themselves.

Change: ease begins at the share that a cold node can't do yet, and moves from there as always; windows told while cold let in together what it survives; its refusals draw the span to stay away over the longest one.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -146,7 +146,10 @@
         self.no_run_after: int | None = None
         self.healthy = True
         self.said_healthy = None if machine.full_checks else True  # told once, checks are answered from store
-        self.ease, self.said = 0.0, -1.0  # share of their load that callers are to keep back; what they heard
+        # Guards a cold node against all who hear it: each keeps back the share that it can't do yet, however
+        # many they are. Harm: for its first second an idle one is told to be able to do less than it is.
+        self.ease = min(TOLD_MOST, 1 - self.cold_from)  # share of their load that callers are to keep back
+        self.said = -1.0  # the free value that they heard
         self.callers_seen: deque[int] = deque(maxlen=CALLERS_KEPT)
         self.connections_idle = self.said_idle = machine.connections_idle
 
@@ -249,9 +252,15 @@
 
     def crowd_bound(self, now: int) -> float:
         """A part of the crowd that the node survives at the least speed it may have since a cold start."""
+        return self.survives(now) * CROWD_PART
+
+    def survives(self, now: int) -> float:
+        return self.cores * (1 + (self.crowd - 1) * self.speed(now))
+
+    def speed(self, now: int) -> float:
+        """The least that it may have since a cold start, 1 where it is warm."""
         age = 0 if self.started_at is None else now - self.started_at
-        speed = min(1.0, self.cold_from + (1 - self.cold_from) * age / max(1, self.warm_after))
-        return self.cores * (1 + (self.crowd - 1) * speed) * CROWD_PART
+        return min(1.0, self.cold_from + (1 - self.cold_from) * age / max(1, self.warm_after))
 
     def used_kb(self) -> float:
         ran = sum(each.size_kb for each in (*self.running, *self.asking, *self.calling))
@@ -456,7 +465,15 @@
             if self.leaves_at is not None:
                 inquiry.due = min(inquiry.due, self.leaves_at + self.guard)
             if inquiry.repeats or inquiry.repeats_unknown:
-                self.move(inquiry, self.held, State.HELD)
+                # Guards the memory against a storm of repeats that wait for one run. Harm: they are not told
+                # how it ends, and may ask again. One whose first try is over is answered in this round.
+                first = inquiry.repeats
+                if (first and first.state is State.ENDED) or self.used_kb() <= self.memory_kb:
+                    self.move(inquiry, self.held, State.HELD)
+                elif first and first.started is None:
+                    yield self.defer(now, inquiry)
+                else:
+                    yield self.give_up(inquiry)
                 continue
             shut = self.open_share < 1 and self.chance.random() >= self.open_share
             no_use = inquiry.due <= now + self.guard or self.too_late(now, inquiry, len(self.held))
@@ -604,7 +621,7 @@
         if self.healthy != self.said_healthy:
             self.said_healthy = self.healthy
             yield Decision(Act.HEALTH, flag=self.healthy)
-        amount = self.free_value()
+        amount = self.free_value(now)
         if amount is not None and abs(amount - self.said) > TOLD_STEP * max(1.0, abs(self.said)):
             self.said = amount
             yield Decision(Act.TELL, amount=amount)
@@ -624,14 +641,16 @@
         known = len(self.callers_seen) - len(set(self.callers_seen)) >= CALLERS_BACK * CALLERS_KEPT
         return self.connections_idle if known else min(IDLE_SOON, self.connections_idle)
 
-    def free_value(self) -> float | None:
+    def free_value(self, now: int) -> float | None:
         if self.told is Told.LEVEL:
             return round(self.ease, 2)
         if self.told is Told.CHANCE:
             return round(1 - self.ease, 2)
         if self.told is Told.WINDOW:
             outstanding = len(self.asking) + len(self.calling) + self.limit + self.reference
-            return round(max(WINDOW_LEAST, WINDOW_WIDE * outstanding * (1 - self.ease) / self.callers), 1)
+            wide = max(WINDOW_LEAST, WINDOW_WIDE * outstanding * (1 - self.ease) / self.callers)
+            # cold, all windows together let in what it survives, as all may be used at once
+            return round(wide if self.speed(now) == 1 else min(wide, self.survives(now) / self.callers), 3)
         return None
 
     # --- answers ---
@@ -642,8 +661,9 @@
         self.deferred_lately += 1
         self.judged.append(True)
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
-        if self.open_share < 1:  # drawn over the span: those that come back at once would be a herd
-            span, alone = int(self.advice_most * (1 + 3 * self.chance.random()) / 4), True
+        if self.open_share < 1 or self.speed(now) < 1:  # drawn: those that come back at once would be a herd
+            span = int(self.advice_most * (1 + 3 * self.chance.random()) / 4)
+            alone = alone or self.open_share < 1
         return Decision(Act.DEFER, inquiry, span=span, flag=not (alone or self.sends_on()))
 
     def give_up(self, inquiry: Inquiry) -> Decision:
