Callers that read nothing hold an eighth of the program's memory at most

Need: bounds go by the memory of the configuration. Read: each connection keeps 16 KiB and the answers of 32 open requests, 144 KiB; with 1,024 descriptors all callers together could hold 130 MB, over every limit seen (64 to 192 MB); memory_mb was not read at all. Change: those that leave answers unread are kept in order, and past an eighth of memory_mb the oldest is cut off. The test fails without it (200 stuck callers all stay).

--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -12,7 +12,7 @@
 from lichencleat.net.catalogue import Catalogue, links_most
 from lichencleat.net.config import Told
 from lichencleat.net.deadlines import Deadlines
-from lichencleat.net.dispatchers import Dispatchers
+from lichencleat.net.dispatchers import MEMORY_LEAST, Dispatchers
 from lichencleat.net.host import Host
 from lichencleat.net.interpreter import Interpreter
 from lichencleat.net.membership import Membership
@@ -82,7 +82,13 @@
                 reactor, told.name, chosen.fleet, self.host, self.keyed, unix_time, rng, events
             )
         self.dispatchers = Dispatchers(
-            self.host, self.deadlines, self.report, told.descriptors, told.tenants, self.flows
+            self.host,
+            self.deadlines,
+            self.report,
+            told.descriptors,
+            told.tenants,
+            self.flows,
+            told.memory or MEMORY_LEAST,
         )
         self.ended: Deferred = Deferred()
         self.stop_at: int | None = None
--- a/lichencleat/net/config.py
+++ b/lichencleat/net/config.py
@@ -11,6 +11,7 @@
 from lichencleat.machine import BadInputError, decode_gauges, decode_machine
 from lichencleat.terms import Machine
 
+MB = 1 << 20  # bytes
 PORT_MOST = 65_535  # the last one there is
 
 
@@ -24,6 +25,7 @@
     seed: str
     stop_after: int  # µs from the notice to leave to the stop
     descriptors: int
+    memory: int | None  # bytes that the program may have, where it is told
     machine: Machine
     gauges: list[str | None]
     tenants: frozenset[bytes]  # empty at a site without them
@@ -53,6 +55,7 @@
         seed=str(field(told, "seed", (str, int))),
         stop_after=round(field(told, "stop_ms", (int, float)) * 1000),
         descriptors=field(limits, "sockets", int),
+        memory=int(field(limits, "memory_mb", (int, float)) * MB) if "memory_mb" in limits else None,
         machine=machine(settings),
         gauges=decode_gauges(settings),
         tenants=tenants(settings),
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -35,6 +35,9 @@
 ROOM_AGAIN = 20_000  # µs between looks for room while no connection is accepted: a third of REST_CUT
 LINGER = 1_000_000  # µs from our end of a connection to the caller's, who has all answers by then, or is gone
 DROPPED_MOST = 262_144  # bytes read and dropped on one that ends: more than 32 inquiries, with their bodies
+RESULT_MOST = 4_096  # bytes, by the protocol
+MEMORY_LEAST = 64 << 20  # bytes of the program, where it is not told: three times what one takes at rest
+UNREAD_PART = 1 / 8  # of that, for answers that callers leave unread: a third of it is taken at rest
 UNREAD_LONG = 10_000_000  # µs that a caller may leave answers unread: longer than any inquiry waits
 CLOSE_AFTER = 300_000  # µs after goaway by which an unused connection is closed from here: what crossed is in
 WORDS = {Answer.HONOURED: b"200", Answer.DEFERRED: b"503", Answer.GIVEN_UP: b"500"}
@@ -86,6 +89,7 @@
     def connectionLost(self, reason: Any = connectionDone) -> None:
         self.door.connections.give_back(self.number)
         self.door.strangers.pop(self, None)
+        self.door.unreading.pop(self, None)
         self.door.deadlines.cancel(self.whole_by)
         self.door.deadlines.cancel(self.unread)
         self.door.deadlines.cancel(self.idle)
@@ -123,10 +127,12 @@
         self.transport.pauseProducing()
         if self.unread is None:
             self.unread = self.door.deadlines.after(UNREAD_LONG, self.abort, "answers left unread")
+            self.door.stuck(self)
 
     def resumeProducing(self) -> None:
         self.door.deadlines.cancel(self.unread)
         self.unread = None
+        self.door.unreading.pop(self, None)
         self.transport.resumeProducing()
 
     def stopProducing(self) -> None:
@@ -135,6 +141,7 @@
     def abort(self, why: str) -> None:
         self.door.report.count("dispatchers", f"aborted: {why}")
         self.closing = self.over = self.cut_off = True
+        self.door.unreading.pop(self, None)
         self.transport.abortConnection()
 
     def abandon(self, case: Case) -> None:
@@ -357,13 +364,16 @@
         descriptors: int,
         tenants: frozenset[bytes] = frozenset(),
         flows: Any = None,
+        memory: int = MEMORY_LEAST,
     ) -> None:
-        """`flows`: as flows.assembly.Flows, where connections are metered."""
+        """`flows`: as flows.assembly.Flows, where connections are metered. `memory`: the program's, bytes."""
         self.host, self.deadlines, self.report = host, deadlines, report
         self.tenants = tenants
         self.flows = flows
         self.most = max(1, descriptors - OWN - links_most(descriptors))
         self.connections: Slots[Connection] = Slots()
+        self.unreading: dict[Connection, None] = {}  # that read no answers, the longest so first
+        self.unreading_most = max(1, int(memory * UNREAD_PART) // (READ_MOST + OPEN_MOST * RESULT_MOST))
         self.strangers: dict[Connection, None] = {}  # those of whom nothing whole has come, oldest first
         self.idle_span = host.machine.connections_idle  # until the decisions say otherwise
         self.port: Any = None
@@ -464,6 +474,12 @@
         for connection in self.connections:
             connection.go_away()
 
+    def stuck(self, connection: Connection) -> None:
+        """Guards the memory: past the bound, who has left answers unread for longest is cut off."""
+        self.unreading[connection] = None
+        if len(self.unreading) > self.unreading_most:
+            next(iter(self.unreading)).abort("memory for others")
+
     def shut(self) -> None:
         for connection in self.connections:
             connection.shut(in_any_case=True)
--- a/tests/net/test_ends.py
+++ b/tests/net/test_ends.py
@@ -99,3 +99,23 @@
     door = Dispatchers(host, deadlines, report, descriptors)
     assert descriptors // 2 < door.most - door.most // SPARE
     assert door.most + links_most(descriptors) + OWN <= descriptors
+
+
+@pytest.mark.parametrize("megabytes", [8, 64, 192])
+def test_callers_that_read_nothing_hold_a_part_of_the_memory_at_most(host, deadlines, report, megabytes):
+    door = Dispatchers(host, deadlines, report, 1024, memory=megabytes << 20)
+    stuck = []
+    for _ in range(200):
+        stuck.append(door.buildProtocol(None))
+        stuck[-1].makeConnection(Transport())
+        stuck[-1].pauseProducing()
+    held = [each for each in stuck if not each.transport.aborted]
+    assert (
+        len(held) * (16_384 + 32 * 4_096) <= max(147_456, megabytes << 20 >> 3)
+        and held == stuck[-len(held) :]
+    )
+    held[0].resumeProducing()
+    extra = door.buildProtocol(None)
+    extra.makeConnection(Transport())
+    extra.pauseProducing()
+    assert not held[0].transport.aborted  # it reads again, so it is none of them
