--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -661,9 +661,10 @@
         self.deferred_lately += 1
         self.judged.append(True)
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
-        if self.open_share < 1 or self.speed(now) < 1:  # drawn: those that come back at once would be a herd
-            span = int(self.advice_most * (1 + 3 * self.chance.random()) / 4)
-            alone = alone or self.open_share < 1
+        if self.open_share < 1:  # drawn over the span: those that come back at once would be a herd
+            span, alone = int(self.advice_most * (1 + 3 * self.chance.random()) / 4), True
+        elif self.speed(now) < 1:  # likewise, over half to three times the usual one
+            span = min(self.advice_most, int(span * (1 + 5 * self.chance.random()) / 2))
         return Decision(Act.DEFER, inquiry, span=span, flag=not (alone or self.sends_on()))
 
     def give_up(self, inquiry: Inquiry) -> Decision:
