--- a/tests/keyed/test_keyed.py
+++ b/tests/keyed/test_keyed.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from tests_keyed_life import Life, World
+from keyed_life import Life, World
 
 from lichencleat.keyed.book import ENTRY_COST, LATE, READ_LATE, Book, Told
 from lichencleat.keyed.keeper import PARKED_MOST
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -64,3 +64,36 @@
     for event, says in ((["novelty"], "novelty"), (["notice"], "notice"), (READ[:2], "inbound")):
         with pytest.raises(BadInputError, match=says):
             batch(wire, event)
+
+
+def test_instances_of_other_settings_share_nothing_and_one_opened_anew_has_nothing_of_before(wire):
+    other = {**TOLD, "classes": [{**TOLD["classes"][0], "name": "odd", "effect": "guarded", "window": 9.0}]}
+    save = ["inbound", "00000000000000a1", "odd", 0.5, 1, None, None, None, 0, None, 0, 10.0, 0.01]
+    again = [
+        "inbound",
+        "00000000000000b2",
+        "odd",
+        0.5,
+        1,
+        "00000000000000a1",
+        None,
+        None,
+        0,
+        None,
+        0,
+        10.0,
+        0.01,
+    ]
+    batch(wire, START, READ)
+    with pytest.raises(BadInputError, match="unknown class"):
+        batch(wire, save)  # the class of another instance
+    assert batch(wire, ["openInstance", 5, other], save, who=1)["nodes"]
+    ended = batch(wire, ["settled", "00000000000000a1", "completed", 0.01], who=0, turn=2)
+    assert wire.instances[0].node.run_times is not wire.instances[1].node.run_times
+    assert ended["nodes"] == [] or ended["nodes"][0]["who"] == 0
+    assert [len(each) for each in wire.instances[1].node.run_times.values()] == [0]
+    assert wire.instances[1].node.receipts and not wire.instances[0].node.receipts
+    batch(wire, ["exit"], ["openInstance", 5, other], who=1, turn=3)
+    assert not wire.instances[1].node.receipts and not list(wire.instances[1].inquiries)
+    outbox = batch(wire, again, who=1, turn=4)["nodes"][0]["outbox"]
+    assert not [each for each in outbox if each[0] == "admit"]  # it repeats one that this life does not know
