--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -20,7 +20,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
 
-from standins import Program, array, inquiry  # noqa: E402
+from standins import Program, array, request  # noqa: E402
 
 from benchmarks import command  # noqa: E402
 from lichencleat.cli import output  # noqa: E402
@@ -29,7 +29,7 @@
 from lichencleat.flows.elements import Elements  # noqa: E402
 from lichencleat.flows.meter import Counts, End, Meter, Record  # noqa: E402
 
-INQUIRIES = 4_000
+REQUESTS = 4_000
 CONNECTIONS = 1_500
 OPEN = 10_000
 RECORDS = 100_000
@@ -68,17 +68,17 @@
 
 
 def inquire(peers):
-    """CPU µs an inquiry, inquiries a second, p99 of an answer in ms: one after another, on one connection."""
+    """CPU µs a request, requests a second, p99 of an answer in ms: one after another, on one connection."""
     waits = []
     cpu, begun = peers.cpu(), time.perf_counter()
-    for n in range(INQUIRIES):
+    for n in range(REQUESTS):
         at = time.perf_counter()
-        peers.first.send(inquiry(1, b"look", f"{n:016x}", b"x" * 100))
+        peers.first.send(request(1, b"look", f"{n:016x}", b"x" * 100))
         peers.first.array()
         waits.append(time.perf_counter() - at)
     spent = time.perf_counter() - begun
     used = peers.cpu() - cpu
-    return used / INQUIRIES * SECOND, INQUIRIES / spent, statistics.quantiles(waits, n=100)[98] * 1000
+    return used / REQUESTS * SECOND, REQUESTS / spent, statistics.quantiles(waits, n=100)[98] * 1000
 
 
 def connect(peers):
@@ -137,7 +137,7 @@
 
 def program(pairs):
     rows = []
-    names = ["CPU us/inquiry", "inquiries/s", "p99 ms", "CPU us/connection"]
+    names = ["CPU us/request", "requests/s", "p99 ms", "CPU us/connection"]
     for kind in ("alive", "nobody there", "never reads"):
         off, on = [], []
         for _ in range(pairs):
--- a/benchmarks/keyed.py
+++ b/benchmarks/keyed.py
@@ -1,6 +1,6 @@
 """What receipts that outlive a restart cost: `python -m benchmarks.keyed`.
 
-Real nodes on loopback with the rig's engine, pairs of off and on in turn: latency of receipted inquiries at
+Real nodes on loopback with the rig's engine, pairs of off and on in turn: latency of receipted requests at
 some rates, of pure ones beside them; then the start with many live entries, to the first answers, and memory.
 """
 
--- a/lichencleat/benchlink/wire.py
+++ b/lichencleat/benchlink/wire.py
@@ -12,7 +12,7 @@
 
 from lichencleat.decide import Node
 from lichencleat.machine import BadInputError, choose, decode_gauges, decode_machine, micros, read_gauges
-from lichencleat.terms import Act, Decision, Inquiry, Outcome
+from lichencleat.terms import Act, Decision, Outcome, Request
 
 OUTCOMES = {
     "completed": Outcome.COMPLETED,
@@ -24,7 +24,7 @@
     "recalled": Outcome.STOPPED,
     "superseded": Outcome.VOID,
 }
-HINTED, FURTHER_TRY = 1, 2  # bits of an inquiry's marks
+HINTED, FURTHER_TRY = 1, 2  # bits of a request's marks
 
 
 def seconds(span: int) -> float:
@@ -40,8 +40,8 @@
         self.tariffs = {each.name: each for each in machine.tariffs}
         self.passes_limit = bool(own.get("passesDeadline"))
         self.gauges = decode_gauges(told)
-        self.inquiries: WeakValueDictionary[str, Inquiry] = WeakValueDictionary()
-        self.ids: WeakKeyDictionary[Inquiry, str] = WeakKeyDictionary()
+        self.requests: WeakValueDictionary[str, Request] = WeakValueDictionary()
+        self.ids: WeakKeyDictionary[Request, str] = WeakKeyDictionary()
         self.node = Node(machine, random.Random(seed))
         self.inputs: dict[str, Callable] = {
             "inbound": self.inbound,
@@ -60,42 +60,42 @@
             raise BadInputError(f"inbound {corr!r}: unknown class {qos!r}")
         tariff, arrived = self.tariffs[qos], now - micros(backlog)
         due = now + micros(left) if self.passes_limit and left else arrived + tariff.hard_limit
-        inquiry = Inquiry(
+        request = Request(
             tariff=tariff,
             arrived=arrived,
             due=max(due, now),
             place=place or 0.0,
             caller=who or 0,
-            repeats=self.inquiries.get(repeat_of) if repeat_of else None,
-            repeats_unknown=bool(repeat_of) and repeat_of not in self.inquiries,
+            repeats=self.requests.get(repeat_of) if repeat_of else None,
+            repeats_unknown=bool(repeat_of) and repeat_of not in self.requests,
             has_subject=bool(subject),
             further_try=bool((marks or 0) & FURTHER_TRY),
             cost=micros(cost) if (marks or 0) & HINTED else 0,
             size_kb=size or 0.0,
         )
-        self.inquiries[corr] = inquiry
-        self.ids[inquiry] = corr
-        self.node.arrives(now, inquiry)
+        self.requests[corr] = request
+        self.ids[request] = corr
+        self.node.arrives(now, request)
 
     def settled(self, now: int, corr: str, status: str, lag: float | None = None) -> None:
-        inquiry = self.inquiries.get(corr)
-        if inquiry is not None:
-            self.node.run_ended(now, inquiry, choose(OUTCOMES, status, None, "settled"), micros(lag))
+        request = self.requests.get(corr)
+        if request is not None:
+            self.node.run_ended(now, request, choose(OUTCOMES, status, None, "settled"), micros(lag))
 
     def blocked(self, now: int, corr: str) -> None:
-        inquiry = self.inquiries.get(corr)
-        if inquiry is not None:
-            self.node.wants_call(now, inquiry)
+        request = self.requests.get(corr)
+        if request is not None:
+            self.node.wants_call(now, request)
 
     def called(self, now: int, corr: str, status: str, lag: float | None = None) -> None:
-        inquiry = self.inquiries.get(corr)
-        if inquiry is not None:
-            self.node.call_ended(now, inquiry, choose(OUTCOMES, status, None, "called"), micros(lag))
+        request = self.requests.get(corr)
+        if request is not None:
+            self.node.call_ended(now, request, choose(OUTCOMES, status, None, "called"), micros(lag))
 
     def client_left(self, now: int, corr: str) -> None:
-        inquiry = self.inquiries.get(corr)
-        if inquiry is not None:
-            self.node.caller_left(now, inquiry)
+        request = self.requests.get(corr)
+        if request is not None:
+            self.node.caller_left(now, request)
 
     def fired(self, now: int, _tag: str, row: list | None = None) -> None:
         self.node.wakes(now, read_gauges(self.gauges, row or []))
@@ -119,8 +119,8 @@
 
     def encode(self, decision: Decision) -> list:
         name = WORDS[decision.act]
-        if decision.inquiry is not None:
-            values: list = [self.ids[decision.inquiry]]
+        if decision.request is not None:
+            values: list = [self.ids[decision.request]]
             if decision.act is Act.DEFER:
                 values += [seconds(decision.span), decision.flag]
             elif decision.act in (Act.CALL, Act.RECORD):
--- a/lichencleat/cli/keyed.py
+++ b/lichencleat/cli/keyed.py
@@ -1,4 +1,4 @@
-"""`lichencleat keyed`: what a node's directory knows of its receipted inquiries; for a node that is down."""
+"""`lichencleat keyed`: what a node's directory knows of its receipted requests; for a node that is down."""
 
 from __future__ import annotations
 
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -4,10 +4,10 @@
 `call_ended`, `caller_left`, `must_leave`, `wakes`), which only updates what is known, and after each lot
 pulls `next_decision` until it gives None. The types of that interface stand in `lichencleat/terms.py`.
 
-The design (docs/design.md) decides the ordinary path: a cap on held and running inquiries, moved each
+The design (docs/design.md) decides the ordinary path: a cap on held and running requests, moved each
 period by integral feedback on the length of the hold, and a running limit. Beside it stand:
   1. the due guard: every answer goes out a period before it is due, running work included;
-  2. the receipt table: a receipted inquiry runs once, and its repeats share that run;
+  2. the receipt table: a receipted request runs once, and its repeats share that run;
   3. room: memory, and the crowd that may come back to the cores at once, less while cold;
   4. calls: a moving bound, paced where it is under one, let out by payoff; repeated only if harmless;
   5. late work: what cannot end within its soft limit is not begun; a slow, stalled or sick node passes it on;
@@ -28,9 +28,9 @@
     Effect,
     Gauges,
     Halt,
-    Inquiry,
     Machine,
     Outcome,
+    Request,
     State,
     Tariff,
     Told,
@@ -39,7 +39,7 @@
 PERIOD = 100_000  # µs: a tenth of the shortest wait that matters, and ten wake-ups a second cost little
 SOFT_USUAL = 1_300_000  # µs: the shortest soft limit that these spans suit; shorter ones shorten them alike
 PACE_LEAST = 0.2  # of those spans: quicker rounds would cost more than they gain
-GAIN = 0.2  # cap per held inquiry and period: low, as the paper prefers; its range takes about a second
+GAIN = 0.2  # cap per held request and period: low, as the paper prefers; its range takes about a second
 HOLD_WAIT = 0.2  # of the shortest soft limit, for the wait in the hold: the run and its calls need the rest
 CLIMB = 1 / 3  # of the cores, added to the running limit per period: doubles it in a third of a second
 STEP_BACK = 1 / 6  # of the cores, off the running limit per period: gentler, the crowd comes and goes
@@ -48,7 +48,7 @@
 BUSY = 0.9  # of the cores, as the host gauges it: nothing to gain from more runs
 CROWD_PART = 0.6  # of the crowd a node survives: what waits on calls may come back to the cores at once
 MEMORY_PART = 0.85  # of the memory: leaves room for what is being read while decisions are made
-ENTRY_PART = 0.5  # of the memory part: entries of pure inquiries only save work, so runs come first
+ENTRY_PART = 0.5  # of the memory part: entries of pure requests only save work, so runs come first
 CALLS_PART = 0.7  # of this node's part of what the dependency survives: cold nodes call more, calls linger
 CALLS_LEAST = 0.25  # of the calls part, where that is under one: keeps a slowed dependency at work
 CALLS_AHEAD = 300_000  # µs by which they may be ahead of that part: usual calls are not held up by it
@@ -119,17 +119,17 @@
         self.cap = 2.0 * machine.cores
         self.next_sample = self.wake_at = 0
         # what is in hand, each in the order in which it came there
-        self.new: dict[Inquiry, None] = {}
-        self.held: dict[Inquiry, None] = {}
-        self.running: dict[Inquiry, None] = {}
-        self.asking: dict[Inquiry, None] = {}
-        self.calling: dict[Inquiry, None] = {}
-        self.sharing: dict[Inquiry, None] = {}
-        self.to_stop: dict[Inquiry, None] = {}
-        self.receipts: dict[Inquiry, int] = {}  # until when each entry lives
+        self.new: dict[Request, None] = {}
+        self.held: dict[Request, None] = {}
+        self.running: dict[Request, None] = {}
+        self.asking: dict[Request, None] = {}
+        self.calling: dict[Request, None] = {}
+        self.sharing: dict[Request, None] = {}
+        self.to_stop: dict[Request, None] = {}
+        self.receipts: dict[Request, int] = {}  # until when each entry lives
         self.able_to_record = True
         self.open_share = 1.0  # of the arrivals: less while the fleet returns
-        self.unrun = False  # some inquiry ended without a run since the receipts were looked through
+        self.unrun = False  # some request ended without a run since the receipts were looked through
         # what is known
         self.gauges = Gauges()
         self.run_times: dict[Tariff, deque[int]] = {each: deque(maxlen=RUNS_KEPT) for each in machine.tariffs}
@@ -155,33 +155,33 @@
 
     # --- inputs: they only update what is known ---
 
-    def arrives(self, now: int, inquiry: Inquiry) -> None:
-        self.new[inquiry] = None
-        if inquiry.cost:
-            self.costs.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(inquiry.cost)
-        self.read_times.append((now, now - inquiry.arrived))
-        self.callers_seen.append(inquiry.caller)
+    def arrives(self, now: int, request: Request) -> None:
+        self.new[request] = None
+        if request.cost:
+            self.costs.setdefault(request.tariff, deque(maxlen=RUNS_KEPT)).append(request.cost)
+        self.read_times.append((now, now - request.arrived))
+        self.callers_seen.append(request.caller)
 
-    def run_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
-        if outcome is Outcome.COMPLETED and inquiry in self.running:
-            self.run_times.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(took)
+    def run_ended(self, now: int, request: Request, outcome: Outcome, took: int) -> None:
+        if outcome is Outcome.COMPLETED and request in self.running:
+            self.run_times.setdefault(request.tariff, deque(maxlen=RUNS_KEPT)).append(took)
             self.usual_runs.clear()
         if outcome in (Outcome.COMPLETED, Outcome.ERRED):
-            inquiry.answered = True
-        inquiry.succeeded = outcome is Outcome.COMPLETED
-        if inquiry.succeeded and now <= self.soft_end(inquiry):
+            request.answered = True
+        request.succeeded = outcome is Outcome.COMPLETED
+        if request.succeeded and now <= self.soft_end(request):
             self.on_time_at = now
         self.progress_at = now
-        self.end(inquiry)
-        if not inquiry.answered and outcome is Outcome.STOPPED:
-            self.move(inquiry, self.held, State.HELD)
+        self.end(request)
+        if not request.answered and outcome is Outcome.STOPPED:
+            self.move(request, self.held, State.HELD)
 
-    def outcome_waits(self, now: int, inquiry: Inquiry, took: int) -> None:
+    def outcome_waits(self, now: int, request: Request, took: int) -> None:
         """It has run, and its outcome is being recorded: it holds no core, and `run_ended` follows."""
-        self.run_times.setdefault(inquiry.tariff, deque(maxlen=RUNS_KEPT)).append(took)
+        self.run_times.setdefault(request.tariff, deque(maxlen=RUNS_KEPT)).append(took)
         self.usual_runs.clear()
         self.progress_at = now
-        self.move(inquiry, self.sharing, State.SHARING)
+        self.move(request, self.sharing, State.SHARING)
 
     def may_record(self, now: int, able: bool) -> None:
         self.able_to_record = able
@@ -189,21 +189,21 @@
     def may_serve(self, now: int, share: float) -> None:
         self.open_share = share
 
-    def not_recorded(self, now: int, inquiry: Inquiry) -> None:
+    def not_recorded(self, now: int, request: Request) -> None:
         """Its entry could not be made, so it was not begun."""
-        self.receipts.pop(inquiry, None)
-        inquiry.started = None
-        self.move(inquiry, self.held, State.HELD)
+        self.receipts.pop(request, None)
+        request.started = None
+        self.move(request, self.held, State.HELD)
 
-    def wants_call(self, now: int, inquiry: Inquiry) -> None:
+    def wants_call(self, now: int, request: Request) -> None:
         self.progress_at = now
-        self.move(inquiry, self.asking, State.ASKING)
-        inquiry.call_after, inquiry.calls_failed = now, 0
+        self.move(request, self.asking, State.ASKING)
+        request.call_after, request.calls_failed = now, 0
 
-    def call_ended(self, now: int, inquiry: Inquiry, outcome: Outcome, took: int) -> None:
-        if inquiry not in self.calling:
+    def call_ended(self, now: int, request: Request, outcome: Outcome, took: int) -> None:
+        if request not in self.calling:
             return
-        well, pure = outcome is Outcome.COMPLETED, inquiry.tariff.effect is Effect.PURE
+        well, pure = outcome is Outcome.COMPLETED, request.tariff.effect is Effect.PURE
         if not (self.hedges and outcome is Outcome.OVERDUE):  # that tells our patience, not how calls go
             self.call_times.append((took, well))
             self.patience = None
@@ -219,30 +219,30 @@
             step = min(1 / self.calls_most, self.calls_most)
             self.calls_most = min(self.calls_ceiling, self.calls_most + step)
         if well:
-            self.move(inquiry, self.running, State.RUNNING)
+            self.move(request, self.running, State.RUNNING)
             return
-        self.move(inquiry, self.asking, State.ASKING)
+        self.move(request, self.asking, State.ASKING)
         never_ran = outcome in (Outcome.TURNED_AWAY, Outcome.UNREACHED)
-        inquiry.calls_failed += 1 if never_ran or pure else CALL_TRIES
-        inquiry.call_after = now + int(CALL_PAUSE * self.pace) * inquiry.calls_failed
+        request.calls_failed += 1 if never_ran or pure else CALL_TRIES
+        request.call_after = now + int(CALL_PAUSE * self.pace) * request.calls_failed
 
     def may_call(self, now: int, most: int) -> None:
         """So many calls may be out from now on, as agreed with other nodes; those that are out may stay."""
         self.calls_granted = most
 
-    def caller_left(self, now: int, inquiry: Inquiry) -> None:
-        inquiry.answered = True
-        if inquiry in self.running:
-            self.to_stop[inquiry] = None
-        elif inquiry.state is State.HELD or (inquiry.state is State.SHARING and inquiry.started is None):
-            self.end(inquiry)
+    def caller_left(self, now: int, request: Request) -> None:
+        request.answered = True
+        if request in self.running:
+            self.to_stop[request] = None
+        elif request.state is State.HELD or (request.state is State.SHARING and request.started is None):
+            self.end(request)
 
     def must_leave(self, now: int, at: int) -> None:
         self.leaves_at = at - LEAVE_MARGIN
         self.no_run_after = now + self.grace
         self.healthy = False
-        for inquiry in (*self.new, *self.held, *self.running, *self.asking, *self.calling, *self.sharing):
-            inquiry.due = min(inquiry.due, self.leaves_at + self.guard)
+        for request in (*self.new, *self.held, *self.running, *self.asking, *self.calling, *self.sharing):
+            request.due = min(request.due, self.leaves_at + self.guard)
 
     def wakes(self, now: int, gauges: Gauges) -> None:
         self.gauges = gauges
@@ -314,7 +314,7 @@
     def stalled(self, now: int) -> bool:
         """No run ended or reached a call for long, though the cores have work: a hang, or all but one.
 
-        Guards against any standstill, whatever its cause. It does harm where the few inquiries that run are
+        Guards against any standstill, whatever its cause. It does harm where the few requests that run are
         all many times the usual size: arrivals then go elsewhere until one of them ends.
         """
         long = max(STALL_LEAST * self.pace, STALL_RUNS * self.run_time(now))
@@ -331,42 +331,42 @@
             and now - self.on_time_at > self.longest_soft_limit
         )
 
-    def too_late(self, now: int, inquiry: Inquiry, ahead: int = 0) -> bool:
+    def too_late(self, now: int, request: Request, ahead: int = 0) -> bool:
         """With so many before it, it would not end within its soft limit; an idle core tries all the same.
 
         Guards against work that earns nothing. The idle core is how a node learns that it is no longer slow.
         """
         spare = 0 if ahead else self.cores - len(self.running)
-        if spare > 0 and (not self.running or not self.slow(now, inquiry.tariff)):
+        if spare > 0 and (not self.running or not self.slow(now, request.tariff)):
             return False
         wait = self.run_time(now) * ahead / max(self.limit, self.cores)
-        own = self.run_time(now, inquiry.tariff) * self.bulk(inquiry)
-        return now + wait + own > min(inquiry.due, self.soft_end(inquiry))
+        own = self.run_time(now, request.tariff) * self.bulk(request)
+        return now + wait + own > min(request.due, self.soft_end(request))
 
     def slow(self, now: int, tariff: Tariff) -> bool:
         """Here it would be late even alone, and that is not for its calls: other nodes may do better."""
         return self.run_time(now, tariff) > tariff.soft_limit and not self.calls_slow()
 
-    def bulk(self, inquiry: Inquiry) -> float:
+    def bulk(self, request: Request) -> float:
         """How its work, as told, compares with that of its tariff."""
-        costs = self.costs.get(inquiry.tariff, ())
-        known = inquiry.cost and len(costs) >= RUNS_FEW
-        return inquiry.cost / max(1.0, median(costs)) if known else 1.0
+        costs = self.costs.get(request.tariff, ())
+        known = request.cost and len(costs) >= RUNS_FEW
+        return request.cost / max(1.0, median(costs)) if known else 1.0
 
-    def soft_end(self, inquiry: Inquiry) -> int:
-        tariff = inquiry.tariff
-        soft_limit = tariff.soft_limit + int(tariff.stretch * inquiry.cost)
-        return inquiry.arrived + min(tariff.hard_limit, soft_limit)
+    def soft_end(self, request: Request) -> int:
+        tariff = request.tariff
+        soft_limit = tariff.soft_limit + int(tariff.stretch * request.cost)
+        return request.arrived + min(tariff.hard_limit, soft_limit)
 
-    def worthless(self, now: int, inquiry: Inquiry) -> bool:
-        """A pure inquiry whose soft limit is past and that earns nothing after it."""
-        earns = now < self.soft_end(inquiry) or inquiry.tariff.late_payoff
-        return not earns and inquiry.tariff.effect is Effect.PURE and self.can_stop
+    def worthless(self, now: int, request: Request) -> bool:
+        """A pure request whose soft limit is past and that earns nothing after it."""
+        earns = now < self.soft_end(request) or request.tariff.late_payoff
+        return not earns and request.tariff.effect is Effect.PURE and self.can_stop
 
-    def payoff(self, inquiry: Inquiry) -> float:
+    def payoff(self, request: Request) -> float:
         """For the core time that it takes."""
-        own = 0 if self.paid_by_work else self.usual_run(inquiry.tariff)
-        return inquiry.tariff.payoff * (self.usual_run() / own if own else 1)
+        own = 0 if self.paid_by_work else self.usual_run(request.tariff)
+        return request.tariff.payoff * (self.usual_run() / own if own else 1)
 
     def sends_on(self) -> bool:
         """A caller whose time left is told may try elsewhere, the less often the more is deferred here.
@@ -374,11 +374,11 @@
         Guards against losses by chance while others idle. Harm: each try is read again."""
         return self.time_told and self.chance.random() * SHED_FEW >= sum(self.judged) / READS_KEPT
 
-    def has_run(self, inquiry: Inquiry) -> bool:
-        return inquiry.started is not None and inquiry.tariff.effect is not Effect.PURE
+    def has_run(self, request: Request) -> bool:
+        return request.started is not None and request.tariff.effect is not Effect.PURE
 
-    def may_run(self, inquiry: Inquiry) -> bool:
-        return self.no_run_after is None or inquiry.arrived <= self.no_run_after
+    def may_run(self, request: Request) -> bool:
+        return self.no_run_after is None or request.arrived <= self.no_run_after
 
     # --- decisions, pulled one by one ---
 
@@ -437,14 +437,14 @@
         stalled = self.stalled(now)  # then a caller of a pure run may still find another node in time
         crowded = bool(self.held) or self.read_time(now) > READ_LATE * self.pace
         ran = (*self.running, *self.calling, *self.asking)
-        for inquiry in (*ran, *self.held, *self.sharing):
-            if inquiry.answered:
+        for request in (*ran, *self.held, *self.sharing):
+            if request.answered:
                 continue
-            pure = inquiry.tariff.effect is Effect.PURE
-            if inquiry.due <= now + self.guard or (stalled and pure and inquiry in self.running):
-                yield self.give_up(inquiry)
-            elif crowded and inquiry in ran and self.worthless(now, inquiry):
-                yield self.defer(now, inquiry)
+            pure = request.tariff.effect is Effect.PURE
+            if request.due <= now + self.guard or (stalled and pure and request in self.running):
+                yield self.give_up(request)
+            elif crowded and request in ran and self.worthless(now, request):
+                yield self.defer(now, request)
 
     def stop_unwanted(self, now: int) -> Iterator[Decision]:
         """Work for which nobody waits frees its core, unless a repeat waits for its outcome.
@@ -454,47 +454,47 @@
         """
         unwanted, self.to_stop = self.to_stop, {}
         shared = {each.repeats for each in self.sharing}
-        for inquiry in unwanted if self.can_stop else ():
-            kept = inquiry.tariff.effect is Effect.RECEIPTED and now < self.soft_end(inquiry)
-            if inquiry in self.running and not kept and inquiry not in shared:
-                yield Decision(Act.STOP, inquiry)
+        for request in unwanted if self.can_stop else ():
+            kept = request.tariff.effect is Effect.RECEIPTED and now < self.soft_end(request)
+            if request in self.running and not kept and request not in shared:
+                yield Decision(Act.STOP, request)
 
     def judge_new(self, now: int) -> Iterator[Decision]:
         """An arrival is held if the cap and the rules allow, else deferred at once."""
-        for inquiry in list(self.new):
+        for request in list(self.new):
             if self.leaves_at is not None:
-                inquiry.due = min(inquiry.due, self.leaves_at + self.guard)
-            if inquiry.repeats or inquiry.repeats_unknown:
+                request.due = min(request.due, self.leaves_at + self.guard)
+            if request.repeats or request.repeats_unknown:
                 # Guards the memory against a storm of repeats that wait for one run. Harm: they are not told
                 # how it ends, and may ask again. One whose first try is over is answered in this round.
-                first = inquiry.repeats
+                first = request.repeats
                 if (first and first.state is State.ENDED) or self.used_kb() <= self.memory_kb:
-                    self.move(inquiry, self.held, State.HELD)
+                    self.move(request, self.held, State.HELD)
                 elif first and first.started is None:
-                    yield self.defer(now, inquiry)
+                    yield self.defer(now, request)
                 else:
-                    yield self.give_up(inquiry)
+                    yield self.give_up(request)
                 continue
             shut = self.open_share < 1 and self.chance.random() >= self.open_share
-            no_use = inquiry.due <= now + self.guard or self.too_late(now, inquiry, len(self.held))
+            no_use = request.due <= now + self.guard or self.too_late(now, request, len(self.held))
             if (
                 shut
                 or no_use
-                or not self.may_run(inquiry)
+                or not self.may_run(request)
                 or self.stalled(now)
                 or self.used_kb() > self.memory_kb
             ):
-                yield self.defer(now, inquiry)
+                yield self.defer(now, request)
                 continue
             if self.full():
                 worst = min(self.held, key=lambda each: (self.payoff(each), -each.arrived))
                 free = not (self.has_run(worst) or worst.repeats)
-                if not free or self.payoff(worst) >= self.payoff(inquiry):
-                    worst = inquiry
+                if not free or self.payoff(worst) >= self.payoff(request):
+                    worst = request
                 yield self.defer(now, worst)
-                if worst is inquiry:
+                if worst is request:
                     continue
-            self.move(inquiry, self.held, State.HELD)
+            self.move(request, self.held, State.HELD)
             self.judged.append(False)
 
     def full(self) -> bool:
@@ -516,106 +516,106 @@
     def usual_call(self) -> float:
         return median([took for took, _ in self.call_times][-CALLS_FEW:] or [0.0])
 
-    def record(self, now: int, inquiry: Inquiry) -> Decision:
+    def record(self, now: int, request: Request) -> Decision:
         """The entry is there before the run, and covers the window counted from the arrival."""
-        lasts = inquiry.tariff.window if inquiry.tariff.effect is Effect.RECEIPTED else self.fresh
-        until = inquiry.arrived + lasts + self.guard
-        self.receipts[inquiry] = until
-        return Decision(Act.RECORD, inquiry, span=max(until - now, self.guard))
+        lasts = request.tariff.window if request.tariff.effect is Effect.RECEIPTED else self.fresh
+        until = request.arrived + lasts + self.guard
+        self.receipts[request] = until
+        return Decision(Act.RECORD, request, span=max(until - now, self.guard))
 
     def review_held(self, now: int) -> Iterator[Decision]:
         """Repeats share a run that there is; what is no use any more goes; the rest has its entry."""
-        for inquiry in list(self.held):
-            first = inquiry.repeats
+        for request in list(self.held):
+            first = request.repeats
             while first is not None and first.successor is not None:
-                first = inquiry.repeats = first.successor
-            if inquiry.repeats_unknown or (first is not None and first.started is not None):
+                first = request.repeats = first.successor
+            if request.repeats_unknown or (first is not None and first.started is not None):
                 if first is None or first.state is not State.ENDED or first.succeeded:
-                    self.move(inquiry, self.sharing, State.SHARING)
-                    yield Decision(Act.SHARE, inquiry)
+                    self.move(request, self.sharing, State.SHARING)
+                    yield Decision(Act.SHARE, request)
                     continue
-                if inquiry.tariff.effect is not Effect.PURE:
-                    yield self.give_up(inquiry)  # it ran and came to nothing: neither rerun nor deferred
+                if request.tariff.effect is not Effect.PURE:
+                    yield self.give_up(request)  # it ran and came to nothing: neither rerun nor deferred
                     continue
             if first is not None:
                 if first.state is not State.ENDED:
                     continue  # its first try is held here: that one runs, and this one shares
                 # Guards against two repeats of one deferred try that are read together: the first of them
                 # takes its place, and the second repeats that one.
-                first.successor, inquiry.repeats = inquiry, None
+                first.successor, request.repeats = request, None
                 self.receipts.pop(first, None)
-            bare = self.takes_entry(inquiry) and inquiry not in self.receipts
-            no_entry = bare and not self.able_to_record and inquiry.tariff.effect is Effect.RECEIPTED
-            if self.has_run(inquiry):
-                yield self.give_up(inquiry)
-            elif no_entry or not self.may_run(inquiry) or self.too_late(now, inquiry) or self.stalled(now):
-                yield self.defer(now, inquiry)
+            bare = self.takes_entry(request) and request not in self.receipts
+            no_entry = bare and not self.able_to_record and request.tariff.effect is Effect.RECEIPTED
+            if self.has_run(request):
+                yield self.give_up(request)
+            elif no_entry or not self.may_run(request) or self.too_late(now, request) or self.stalled(now):
+                yield self.defer(now, request)
             elif bare:
-                yield self.record(now, inquiry)  # however it came into the hold: without, it never starts
+                yield self.record(now, request)  # however it came into the hold: without, it never starts
 
-    def takes_entry(self, inquiry: Inquiry) -> bool:
-        shared = self.fresh > 0 and inquiry.has_subject and self.used_kb() < self.memory_kb * ENTRY_PART
-        return shared or inquiry.tariff.effect is Effect.RECEIPTED
+    def takes_entry(self, request: Request) -> bool:
+        shared = self.fresh > 0 and request.has_subject and self.used_kb() < self.memory_kb * ENTRY_PART
+        return shared or request.tariff.effect is Effect.RECEIPTED
 
     def strike_unrun(self) -> Iterator[Decision]:
         """The entry of a try that ended without a run guards nothing and takes memory."""
         ended, self.unrun = list(self.receipts) if self.unrun else (), False
-        for inquiry in ended:
-            if inquiry.state is State.ENDED and inquiry.started is None:
-                del self.receipts[inquiry]
-                yield Decision(Act.STRIKE, inquiry)
+        for request in ended:
+            if request.state is State.ENDED and request.started is None:
+                del self.receipts[request]
+                yield Decision(Act.STRIKE, request)
 
     def let_out_calls(self, now: int) -> Iterator[Decision]:
         """Calls go out by what they add to the payoff, under the bound; some are omitted where they clog."""
 
-        def adds(each: Inquiry) -> float:
+        def adds(each: Request) -> float:
             return self.payoff(each) * (1 - each.tariff.payoff_without_call)
 
-        for place, inquiry in enumerate(sorted(self.asking, key=adds, reverse=True)):
-            if inquiry.answered:
-                self.move(inquiry, self.calling, State.CALLING)  # the host ends it
+        for place, request in enumerate(sorted(self.asking, key=adds, reverse=True)):
+            if request.answered:
+                self.move(request, self.calling, State.CALLING)  # the host ends it
                 continue
-            pure, soft = inquiry.tariff.effect is Effect.PURE, self.soft_end(inquiry)
-            late = pure and not inquiry.tariff.late_payoff
-            spent = inquiry.calls_failed >= CALL_TRIES or (late and now >= soft)
-            without = inquiry.tariff.payoff_without_call > 0
+            pure, soft = request.tariff.effect is Effect.PURE, self.soft_end(request)
+            late = pure and not request.tariff.late_payoff
+            spent = request.calls_failed >= CALL_TRIES or (late and now >= soft)
+            without = request.tariff.payoff_without_call > 0
             if spent or (without and self.waits_long(place)):
                 if without and now < soft:
-                    self.move(inquiry, self.running, State.RUNNING)
-                    yield Decision(Act.OMIT_CALL, inquiry)
+                    self.move(request, self.running, State.RUNNING)
+                    yield Decision(Act.OMIT_CALL, request)
                 else:
-                    yield self.give_up(inquiry)
+                    yield self.give_up(request)
                 continue
-            paced = now < max(inquiry.call_after, self.call_next_at - CALLS_AHEAD)
+            paced = now < max(request.call_after, self.call_next_at - CALLS_AHEAD)
             if paced or self.calls_out(now) >= self.calls_most or len(self.calling) >= self.calls_granted:
                 continue
-            self.move(inquiry, self.calling, State.CALLING)
-            inquiry.called_at = now
-            until = min(inquiry.due, max(soft, now + self.period) if late else inquiry.due)
+            self.move(request, self.calling, State.CALLING)
+            request.called_at = now
+            until = min(request.due, max(soft, now + self.period) if late else request.due)
             span = min(max(until - now, self.guard), int(self.calls_longest))
-            if pure and self.hedges and inquiry.calls_failed < CALL_TRIES - 1:
+            if pure and self.hedges and request.calls_failed < CALL_TRIES - 1:
                 span = min(span, self.call_patience())
-            yield Decision(Act.CALL, inquiry, span=span)
+            yield Decision(Act.CALL, request, span=span)
 
     def start_held(self, now: int) -> Iterator[Decision]:
         """Oldest first; newest first once the hold has stood full for long."""
         newest_first = self.full_since is not None and now - self.full_since > FULL_LONG * self.pace
         order = list(self.held)
-        for inquiry in reversed(order) if newest_first else order:
+        for request in reversed(order) if newest_first else order:
             begun = len(self.running) + len(self.asking) + len(self.calling)
             if len(self.running) >= round(self.limit) or begun >= self.crowd_bound(now):
                 return
-            stuck = inquiry.tariff.calls and not inquiry.tariff.payoff_without_call and self.clogged()
-            bare = inquiry.tariff.effect is Effect.RECEIPTED and inquiry not in self.receipts
-            if inquiry.repeats is not None or bare or stuck:
+            stuck = request.tariff.calls and not request.tariff.payoff_without_call and self.clogged()
+            bare = request.tariff.effect is Effect.RECEIPTED and request not in self.receipts
+            if request.repeats is not None or bare or stuck:
                 continue
-            if self.used_kb() + inquiry.size_kb * (self.run_factor - 1) > self.memory_kb:
+            if self.used_kb() + request.size_kb * (self.run_factor - 1) > self.memory_kb:
                 continue
-            self.move(inquiry, self.running, State.RUNNING)
+            self.move(request, self.running, State.RUNNING)
             if len(self.running) == 1:
                 self.progress_at = self.on_time_at = now
-            inquiry.started = now
-            yield Decision(Act.START, inquiry)
+            request.started = now
+            yield Decision(Act.START, request)
 
     def tell(self, now: int) -> Iterator[Decision]:
         if self.healthy != self.said_healthy:
@@ -655,9 +655,9 @@
 
     # --- answers ---
 
-    def defer(self, now: int, inquiry: Inquiry) -> Decision:
-        self.give_up(inquiry)
-        alone = self.stalled(now) or self.leaves_at is not None or self.slow(now, inquiry.tariff)
+    def defer(self, now: int, request: Request) -> Decision:
+        self.give_up(request)
+        alone = self.stalled(now) or self.leaves_at is not None or self.slow(now, request.tariff)
         self.deferred_lately += 1
         self.judged.append(True)
         span = self.advice_most if alone else min(ADVICE, self.advice_most)
@@ -665,28 +665,28 @@
             span, alone = int(self.advice_most * (1 + 3 * self.chance.random()) / 4), True
         elif self.speed(now) < 1:  # likewise, over half to three times the usual one
             span = min(self.advice_most, int(span * (1 + 5 * self.chance.random()) / 2))
-        return Decision(Act.DEFER, inquiry, span=span, flag=not (alone or self.sends_on()))
-
-    def give_up(self, inquiry: Inquiry) -> Decision:
-        inquiry.answered = True
-        if inquiry in self.running:
-            self.to_stop[inquiry] = None
-        elif inquiry in self.asking:
-            self.move(inquiry, self.calling, State.CALLING)  # off our hands when the host says that it ended
-        elif inquiry not in self.calling:
-            self.end(inquiry)
-        return Decision(Act.GIVE_UP, inquiry)
-
-    def move(self, inquiry: Inquiry, pool: dict[Inquiry, None], state: State) -> None:
-        self.leave(inquiry)
-        pool[inquiry] = None
-        inquiry.state = state
-
-    def end(self, inquiry: Inquiry) -> None:
-        self.leave(inquiry)
-        inquiry.state = State.ENDED
-        self.unrun = self.unrun or inquiry.started is None
-
-    def leave(self, inquiry: Inquiry) -> None:
+        return Decision(Act.DEFER, request, span=span, flag=not (alone or self.sends_on()))
+
+    def give_up(self, request: Request) -> Decision:
+        request.answered = True
+        if request in self.running:
+            self.to_stop[request] = None
+        elif request in self.asking:
+            self.move(request, self.calling, State.CALLING)  # off our hands when the host says that it ended
+        elif request not in self.calling:
+            self.end(request)
+        return Decision(Act.GIVE_UP, request)
+
+    def move(self, request: Request, pool: dict[Request, None], state: State) -> None:
+        self.leave(request)
+        pool[request] = None
+        request.state = state
+
+    def end(self, request: Request) -> None:
+        self.leave(request)
+        request.state = State.ENDED
+        self.unrun = self.unrun or request.started is None
+
+    def leave(self, request: Request) -> None:
         for pool in (self.new, self.held, self.running, self.asking, self.calling, self.sharing):
-            pool.pop(inquiry, None)
+            pool.pop(request, None)
--- a/lichencleat/flows/assembly.py
+++ b/lichencleat/flows/assembly.py
@@ -111,7 +111,7 @@
         total.add(open_still)
         self.report.count("flows", "octets metered", total.octets())
         self.report.count("flows", "packets metered", total.packets_in + total.packets_out)
-        self.report.count("flows", "inquiries metered", total.inquiries())
+        self.report.count("flows", "requests metered", total.requests())
 
     def beliefs(self) -> str:
         return self.exporter.beliefs()
--- a/lichencleat/flows/collector.py
+++ b/lichencleat/flows/collector.py
@@ -32,7 +32,7 @@
     records: int = 0
     octets: int = 0
     packets: int = 0
-    inquiries: int = 0
+    requests: int = 0
     honoured: int = 0
     deferred: int = 0
     given_up: int = 0
@@ -48,7 +48,7 @@
         self.deferred += get("inquiriesDeferred", 0)
         self.given_up += get("inquiriesGivenUp", 0)
         self.abandoned += get("inquiriesAbandoned", 0)
-        self.inquiries = self.honoured + self.deferred + self.given_up + self.abandoned
+        self.requests = self.honoured + self.deferred + self.given_up + self.abandoned
         self.folded += get("flowsFolded", 0)
 
 
--- a/lichencleat/flows/layouts.py
+++ b/lichencleat/flows/layouts.py
@@ -14,7 +14,7 @@
 NAME_BYTES = 32  # of a tenant's name in NetFlow v9, which has no variable lengths
 NOWHERE = bytes(4)  # the address of an aggregate in NetFlow v9
 
-INQUIRIES = [
+REQUESTS = [
     "inquiriesHonoured",
     "inquiriesDeferred",
     "inquiriesGivenUp",
@@ -27,7 +27,7 @@
 ENDS = ["sourceTransportPort", "destinationTransportPort", "protocolIdentifier"]
 
 
-def inquiries(counts: Counts) -> list[Value]:
+def requests(counts: Counts) -> list[Value]:
     return [counts.honoured, counts.deferred, counts.given_up, counts.abandoned, counts.held, counts.run]
 
 
@@ -41,12 +41,12 @@
     def __init__(self, elements: Elements) -> None:
         def flow(number: int, family: str) -> Template:
             addresses = [f"source{family}Address", f"destination{family}Address"]
-            own = ["tenant", "tariff", "dispatcher", *INQUIRIES, "packetsEstimated"]
+            own = ["tenant", "tariff", "dispatcher", *REQUESTS, "packetsEstimated"]
             return elements.template(number, ["flowId", *addresses, *ENDS, *COUNTS, *TIMES, *own])
 
         self.flow4, self.flow6 = flow(FLOW4, "IPv4"), flow(FLOW6, "IPv6")
         self.tenant = elements.template(
-            TENANT, ["tenant", *COUNTS, *TIMES, *INQUIRIES, "packetsEstimated", "flowsFolded"]
+            TENANT, ["tenant", *COUNTS, *TIMES, *REQUESTS, "packetsEstimated", "flowsFolded"]
         )
         self.statistics = elements.template(
             STATISTICS,
@@ -69,7 +69,7 @@
         counts = record.counts
         if record.folded:
             marks: list[Value] = [int(record.estimated), record.folded]
-            return [(self.tenant, [record.tenant, *octets(counts), *times, *inquiries(counts), *marks])]
+            return [(self.tenant, [record.tenant, *octets(counts), *times, *requests(counts), *marks])]
         ends: list[Value] = [
             record.flow,
             record.source,
@@ -82,7 +82,7 @@
             record.tenant,
             record.tariff,
             record.dispatcher,
-            *inquiries(counts),
+            *requests(counts),
             int(record.estimated),
         ]
         template = self.flow4 if len(record.source) == 4 else self.flow6
@@ -93,12 +93,12 @@
     ) -> Row:
         """`lost`: records that are known not to have arrived, `counts`: what was in them."""
         packets = counts.packets_in + counts.packets_out
-        figures = [lost, packets, counts.octets(), counts.inquiries(), folded]
+        figures = [lost, packets, counts.octets(), counts.requests(), folded]
         return self.statistics, [domain, messages, records, *figures]
 
 
 class Netflow9:
-    """A connection is two records, one a direction; inquiries have no words here."""
+    """A connection is two records, one a direction; requests have no words here."""
 
     def __init__(self, elements: Elements) -> None:
         def flow(number: int, family: str) -> Template:
--- a/lichencleat/flows/meter.py
+++ b/lichencleat/flows/meter.py
@@ -1,4 +1,4 @@
-"""Meters connections: octets, packets and inquiries of each, made into records when they are due; no I/O, no
+"""Meters connections: octets, packets and requests of each, made into records when they are due; no I/O, no
 clock.
 
 Inputs only add to counters. The host asks for the records that are due until there is none. A record holds
@@ -14,7 +14,7 @@
 
 # octets of a TCP segment on Ethernet with time stamps: what an estimate of packets divides by
 SEGMENT = 1_448
-SEVERAL = "(several)"  # the tariff of a record with inquiries of more than one
+SEVERAL = "(several)"  # the tariff of a record with requests of more than one
 TEXT_MOST = 64  # characters of a tenant's or tariff's name in a record
 SECOND = 1_000_000  # µs
 
@@ -41,7 +41,7 @@
     deferred: int = 0
     given_up: int = 0
     abandoned: int = 0
-    held: int = 0  # µs, of all inquiries together
+    held: int = 0  # µs, of all requests together
     run: int = 0
 
     def add(self, more: Counts) -> None:
@@ -59,7 +59,7 @@
     def octets(self) -> int:
         return self.octets_in + self.octets_out
 
-    def inquiries(self) -> int:
+    def requests(self) -> int:
         return self.honoured + self.deferred + self.given_up + self.abandoned
 
 
@@ -73,7 +73,7 @@
     source_port: int
     target_port: int
     tenant: str
-    tariff: str  # of all its inquiries, or SEVERAL
+    tariff: str  # of all its requests, or SEVERAL
     dispatcher: int
     began: int
     ended: int
@@ -153,7 +153,7 @@
         return flow
 
     def belongs(self, now: int, flow: Flow, tenant: str, tariff: str, dispatcher: int) -> None:
-        """Whose inquiry, of which tariff, came on it. Where that changes, what the one before did is a record
+        """Whose request, of which tariff, came on it. Where that changes, what the one before did is a record
         of its own.
         """
         tenant = tenant[:TEXT_MOST]
@@ -184,7 +184,7 @@
     def drain(self, now: int) -> None:
         """All that is open is told now; the flows stay open, and their ends are told when they come."""
         for flow in self.round:
-            if flow.counts.octets() or flow.counts.inquiries():
+            if flow.counts.octets() or flow.counts.requests():
                 self.cut(now, flow, End.FORCED)
 
     def cut(self, now: int, flow: Flow, end: End) -> None:
@@ -225,7 +225,7 @@
                 return None
             del self.round[flow]
             self.round[flow] = now + self.look
-            if flow.counts.octets() or flow.counts.inquiries():
+            if flow.counts.octets() or flow.counts.requests():
                 if now - flow.since >= self.active:
                     self.cut(now, flow, End.ACTIVE)
                 elif now - flow.last >= self.idle:
--- a/lichencleat/keyed/keeper.py
+++ b/lichencleat/keyed/keeper.py
@@ -1,7 +1,7 @@
 """Carries out what `book.py` knows, on the store: intents before runs, results before answers.
 
 Whatever waits for the disk waits here: starts for their intents, answers for their results, tries that came
-before the book stood. Each wait ends: by the disk's word, by a slow disk's bound, or by the inquiry's own
+before the book stood. Each wait ends: by the disk's word, by a slow disk's bound, or by the request's own
 due time.
 """
 
@@ -34,7 +34,7 @@
 from lichencleat.store.batch import Batch
 from lichencleat.store.errors import StoreError
 from lichencleat.store.store import Store
-from lichencleat.terms import Inquiry, Outcome
+from lichencleat.terms import Outcome, Request
 
 BEAT = 1_000_000  # µs between two signs of life, which also tell whether a disk that failed works again
 SLOW = 250_000  # µs that a write may wait: then nothing more is begun on it; a disk flushes in a few ms
@@ -46,9 +46,9 @@
 
 
 class Case(Protocol):
-    """An inquiry in hand, as far as this module has to know it; as net.host.Case."""
+    """A request in hand, as far as this module has to know it; as net.host.Case."""
 
-    inquiry: Inquiry
+    request: Request
     ident: bytes
     key: bytes
     open: bool
@@ -82,7 +82,7 @@
 class Waits:
     """What waits here, each with its bound."""
 
-    starts: dict[Inquiry, Start] = field(default_factory=dict)  # at most what the node lets run
+    starts: dict[Request, Start] = field(default_factory=dict)  # at most what the node lets run
     writes: dict[int, int] = field(default_factory=dict)  # number -> since when; at most the store's queue
     parked: deque[tuple[Any, int]] = field(default_factory=deque)  # cases, and when each came
     shares: dict[bytes, list[Any]] = field(default_factory=dict)  # key -> who awaits an earlier life's run
@@ -103,7 +103,7 @@
         self.interpreter_at: int | None = None  # µs of the monotonic clock: when it began
         self.store: Store | None = None
         self.waits = Waits()
-        self.entries: dict[Inquiry, tuple[bytes, Entry]] = {}  # key, intent: of runs that are not over
+        self.entries: dict[Request, tuple[bytes, Entry]] = {}  # key, intent: of runs that are not over
         self.unwritten: dict[bytes, Entry] = {}  # results that the disk did not take, to be tried again
         self.number = 0
         self.failing = ""  # what the disk failed with last
@@ -190,11 +190,11 @@
             self.report.count("keyed", "keys with another body")
             self.host.refuses(case)
             return False
-        case.inquiry.repeats_unknown = told is not Told.NEW
+        case.request.repeats_unknown = told is not Told.NEW
         return True
 
     def told(self, case: Case) -> Told:
-        return self.book.told(mark(case.key[:-MARK]), case.key[-MARK:], self.own_time(case.inquiry.arrived))
+        return self.book.told(mark(case.key[:-MARK]), case.key[-MARK:], self.own_time(case.request.arrived))
 
     def share(self, case: Case) -> None:
         """Its first try is none that the host has: the book tells what there is."""
@@ -231,12 +231,12 @@
 
     def intends(self, case: Case, span: int) -> None:
         """Its intent goes to the disk; `span`: µs from now during which what arrives is a repeat of it."""
-        inquiry, body = case.inquiry, case.key[-MARK:]
-        arrived, due, until = self.own_time(inquiry.arrived), self.own_time(inquiry.due), self.time() + span
-        entry = Entry(State.OPEN, inquiry.tariff.name, arrived, until, due, case.ident, body)
+        request, body = case.request, case.key[-MARK:]
+        arrived, due, until = self.own_time(request.arrived), self.own_time(request.due), self.time() + span
+        entry = Entry(State.OPEN, request.tariff.name, arrived, until, due, case.ident, body)
         key = mark(case.key[:-MARK])
-        self.entries[inquiry] = key, entry
-        start = self.waits.starts[inquiry] = Start(case, self.deadlines.now())
+        self.entries[request] = key, entry
+        start = self.waits.starts[request] = Start(case, self.deadlines.now())
         self.book.take(key, entry)
         self.write(Batch().put(key, encode(entry))).addCallbacks(
             self.intended, self.not_intended, callbackArgs=(start,), errbackArgs=(start,)
@@ -244,7 +244,7 @@
         self.tell_able()
 
     def intended(self, _: Any, start: Start) -> None:
-        if self.waits.starts.get(start.case.inquiry) is not start:
+        if self.waits.starts.get(start.case.request) is not start:
             return  # it was withdrawn meanwhile, and its entry is struck
         start.confirmed = True
         if start.wanted:
@@ -255,7 +255,7 @@
 
     def starts(self, case: Case) -> None:
         """The decisions have begun it: it runs as soon as its intent is confirmed."""
-        start = self.waits.starts.get(case.inquiry)
+        start = self.waits.starts.get(case.request)
         if start is None:  # withdrawn in the same turn
             self.deadlines.after(0, self.host.not_begun, case)
             return
@@ -264,7 +264,7 @@
             self.begin(start)
 
     def begin(self, start: Start) -> None:
-        del self.waits.starts[start.case.inquiry]
+        del self.waits.starts[start.case.request]
         if start.case.open:
             self.host.begin_run(start.case)
         else:  # its caller has gone, or had its answer: nothing ran
@@ -273,29 +273,29 @@
     def withdraw(self, start: Start) -> None:
         """Its intent is not confirmed in time: nothing was begun, and the entry goes."""
         case = start.case
-        if self.waits.starts.get(case.inquiry) is not start:
+        if self.waits.starts.get(case.request) is not start:
             return
-        del self.waits.starts[case.inquiry]
+        del self.waits.starts[case.request]
         self.report.count("keyed", "intents withdrawn")
-        self.forget(case.inquiry)
+        self.forget(case.request)
         if case.open:
             self.host.not_begun(case)
         elif start.wanted:
             self.host.never_began(case)
 
-    def forget(self, inquiry: Inquiry) -> None:
+    def forget(self, request: Request) -> None:
         """That try never ran: a repeat of it is a new one. Only ever called for such."""
-        known = self.entries.pop(inquiry, None)
+        known = self.entries.pop(request, None)
         if known is not None:
             key = known[0]
             self.book.drop(key)
             self.write(Batch().delete(key)).addErrback(lambda failure: None)
             self.tell_able()
 
-    def strikes(self, inquiry: Inquiry) -> None:
+    def strikes(self, request: Request) -> None:
         """The decisions say that it ended without a run."""
-        self.waits.starts.pop(inquiry, None)
-        self.forget(inquiry)
+        self.waits.starts.pop(request, None)
+        self.forget(request)
 
     def ran(self, case: Case, outcome: Outcome, result: bytes, then: Callable[[], None]) -> None:
         """Its run is over. `then`, once that is confirmed, or can't be any more.
@@ -303,7 +303,7 @@
         Where the disk fails, the result is told all the same: it happened, and to hold it back helps nobody.
         A repeat after a restart is given up then.
         """
-        known = self.entries.pop(case.inquiry, None)
+        known = self.entries.pop(case.request, None)
         if known is None:
             then()
             return
@@ -330,7 +330,7 @@
 
     def ended(self, case: Case) -> None:
         """Its run came to an end that proves nothing, or the node is done with it: the intent stands."""
-        self.entries.pop(case.inquiry, None)
+        self.entries.pop(case.request, None)
 
     # -- runs of a life before -------------------------------------------------------------------------
 
@@ -408,7 +408,7 @@
             said = f"{failure.type.__name__}: {said}"
         if said != self.failing:
             self.failing = said
-            self.report.note(f"keyed: {said}; receipted inquiries are deferred until it works again")
+            self.report.note(f"keyed: {said}; receipted requests are deferred until it works again")
 
     def slow(self) -> bool:
         oldest = next(iter(self.waits.writes.values()), None)
@@ -420,7 +420,7 @@
             self.able = able
             if not able and self.book.stands and not self.failing:
                 why = "the disk is slow" if self.slow() else "there is no room"
-                self.report.note(f"keyed: {why}; receipted inquiries are deferred")
+                self.report.note(f"keyed: {why}; receipted requests are deferred")
             self.host.may_record(able)
 
     def look_later(self) -> None:
--- a/lichencleat/lab/rig/fleet.py
+++ b/lichencleat/lab/rig/fleet.py
@@ -19,13 +19,13 @@
 from lichencleat.lab.rig.rig import Rig, wait_until
 
 LIMIT, FLOOR, TERM = 24, 1, 1.0
-NODES, OPEN, KEYS = 8, 6, 12  # OPEN: tries at once at each node; KEYS: of receipted inquiries, at each
+NODES, OPEN, KEYS = 8, 6, 12  # OPEN: tries at once at each node; KEYS: of receipted requests, at each
 WINDOW = 60.0  # s: longer than a schedule
 BACK = 30.0  # s in which the fleet has to be open again
 
 
 class Load:
-    """Pure inquiries with a call, and receipted ones of a few keys, at one node."""
+    """Pure requests with a call, and receipted ones of a few keys, at one node."""
 
     def __init__(self, rig: Rig, node: RigNode, open_: int = OPEN) -> None:
         self.rig, self.node, self.open, self.on = rig, node, open_, True
--- a/lichencleat/lab/rig/peers.py
+++ b/lichencleat/lab/rig/peers.py
@@ -1,6 +1,6 @@
 """Stand-ins for what a node talks to, on the rig's reactor: they outlive the nodes, and count what happened.
 
-`Engine` runs inquiries, `Dependency` takes calls below, `Callers` send inquiries and write down every answer.
+`Engine` runs requests, `Dependency` takes calls below, `Callers` send requests and write down every answer.
 None of them decides anything; each owns its port, given back in `close`.
 """
 
@@ -219,7 +219,7 @@
         if words[0] == b"QUIT":
             self.end(link, words[1], None)
         elif words[0] == b"FETCH":
-            self.end(link, words[1], None)  # a second call for the same inquiry gives up the first
+            self.end(link, words[1], None)  # a second call for the same request gives up the first
             told = int(words[2]) / 1000
             takes = 3600.0 if self.rng.random() < self.stuck else self.rng.expovariate(1 / self.takes)
             self.taken += 1
@@ -280,7 +280,7 @@
 
 @dataclass(slots=True)
 class Asked:
-    """One try of an inquiry, and all that came back for it."""
+    """One try of a request, and all that came back for it."""
 
     ident: bytes
     tariff: bytes
--- a/lichencleat/lab/sim/revive.py
+++ b/lichencleat/lab/sim/revive.py
@@ -3,7 +3,7 @@
 
 The decisions are the real ones (`revive/`); the rest is a fluid model of our own: engines that warm up as
 they work, a dependency that comes back cold and falls when it gets more than it survives, callers that come
-again. Each tick moves rates: it compares orders of return, and tells of no single inquiry.
+again. Each tick moves rates: it compares orders of return, and tells of no single request.
 """
 
 from __future__ import annotations
@@ -34,13 +34,13 @@
 TICK = 50_000  # µs
 LOOK = 300_000  # µs between two looks of the owner
 COMMIT = (2_000, 30_000)  # µs from a proposal to its answer
-SPEEDS = (8.0, 10.0, 14.0)  # inquiries a second of a warm node
+SPEEDS = (8.0, 10.0, 14.0)  # requests a second of a warm node
 LOAD = 0.7  # of what all nodes can do, offered all the time
 BACKLOG = 15.0  # s of offered load that wait to come again when the power is back
 AGAIN, TOLD = 1.0, 2.5  # s until a caller comes again: by itself, or told when to by a shut node
 PATIENCE = 15.0  # s after which a caller gives up
 COLD, WARM_AFTER = 0.3, 10.0  # of its speed, and s of work until it has all of it
-REFUSAL = 0.006  # of an inquiry's work, for one that an open node turns away
+REFUSAL = 0.006  # of a request's work, for one that an open node turns away
 BELOW_COLD = 1 / 3  # what the dependency survives at first, of what it does when it is whole
 BELOW_ROOM = 1.25  # of the offered load, when it is whole
 BELOW_FALL, BELOW_BACK = 1.15, 3.0  # times what it survives: it falls; and s until it is back, cold
@@ -218,7 +218,7 @@
         return VOTERS + 20.0 * self.machines.index(each) / len(self.machines)
 
     def takes(self, each: Machine, arrives: float, span: float) -> float:
-        """Inquiries a second that it lets run; turning others away costs it some of what it can do."""
+        """Requests a second that it lets run; turning others away costs it some of what it can do."""
         can = each.speed * each.warm
         takes = max(0.0, min(arrives, can - REFUSAL * max(0.0, arrives - can)))
         each.load = min(1.0, takes / can)
--- a/lichencleat/lab/sim/zones.py
+++ b/lichencleat/lab/sim/zones.py
@@ -30,7 +30,7 @@
 SECOND = 1_000_000  # µs
 TICK = 100_000  # µs
 COMMIT = (2_000, 40_000)  # µs from a proposal to its answer
-CARRIES = 100.0  # inquiries a second that a zone stands
+CARRIES = 100.0  # requests a second that a zone stands
 TRIP = 30_000  # µs between two zones of a region; three times that between regions
 LEFT, USUAL = 2_000_000, 300_000  # µs that a caller waits, and that a usual run takes
 DROWNS, DROWNED = 1.6, 0.6  # times what it carries: a zone that gets more does only so much of it
--- a/lichencleat/net/catalogue.py
+++ b/lichencleat/net/catalogue.py
@@ -196,7 +196,7 @@
         self.links: OrderedDict[Link, None] = OrderedDict()  # those that take calls, the last used at the end
 
     def fetch(self, ident: bytes, span: int, body: bytes, spent: list[Link]) -> Call:
-        """Places a call; not on a connection that carried one of the same inquiry.
+        """Places a call; not on a connection that carried one of the same request.
 
         Guards against taking a late or a second reply to that one for the reply to this one.
         """
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -1,4 +1,4 @@
-"""Dispatchers: reads inquiries from their connections, writes answers, answers checks, closes idle ones."""
+"""Dispatchers: reads requests from their connections, writes answers, answers checks, closes idle ones."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 from lichencleat.net.deadlines import Deadline, Deadlines
 from lichencleat.net.framing import BrokenFramingError
 from lichencleat.net.host import Answer, Case, Host
-from lichencleat.net.inquiries import BadInquiryError, read_inquiry
 from lichencleat.net.report import Report
+from lichencleat.net.requests import BadRequestError, read_request
 from lichencleat.net.resp import ArrayReader, array
 from lichencleat.net.slots import Slots
-from lichencleat.terms import Inquiry
+from lichencleat.terms import Request
 
 READ_MOST = 16_384  # bytes read at once: a flood on one connection holds the others up for some ms at most
-OPEN_MOST = 32  # inquiries open on one connection, by the protocol
+OPEN_MOST = 32  # requests open on one connection, by the protocol
 BAD_MOST = 4  # unusable arrays on one connection: more is no slip, and each costs as much as a good one
 TAG_DIGITS = 18  # of a tag: more than any connection has arrays
 FIRST_WAIT = 1_500_000  # µs from connecting to a whole array: half of what is owed to those who send none
@@ -34,11 +34,11 @@
 REST_CUT = 60_000  # µs without traffic before one is ended for room: what crosses an end is sent once more
 ROOM_AGAIN = 20_000  # µs between looks for room while no connection is accepted: a third of REST_CUT
 LINGER = 1_000_000  # µs from our end of a connection to the caller's, who has all answers by then, or is gone
-DROPPED_MOST = 262_144  # bytes read and dropped on one that ends: more than 32 inquiries, with their bodies
+DROPPED_MOST = 262_144  # bytes read and dropped on one that ends: more than 32 requests, with their bodies
 RESULT_MOST = 4_096  # bytes, by the protocol
 MEMORY_LEAST = 64 << 20  # bytes of the program, where it is not told: three times what one takes at rest
 UNREAD_PART = 1 / 8  # of that, for answers that callers leave unread: a third of it is taken at rest
-UNREAD_LONG = 10_000_000  # µs that a caller may leave answers unread: longer than any inquiry waits
+UNREAD_LONG = 10_000_000  # µs that a caller may leave answers unread: longer than any request waits
 CLOSE_AFTER = 300_000  # µs after goaway by which an unused connection is closed from here: what crossed is in
 WORDS = {Answer.HONOURED: b"200", Answer.DEFERRED: b"503", Answer.GIVEN_UP: b"500"}
 
@@ -147,14 +147,14 @@
     def abandon(self, case: Case) -> None:
         if self.flow is not None:
             self.flow.counts.abandoned += 1
-            self.add_times(case.inquiry)
+            self.add_times(case.request)
         self.door.host.caller_left(case)
 
-    def add_times(self, inquiry: Inquiry) -> None:
+    def add_times(self, request: Request) -> None:
         """How long it was in hand, and of that since its run began, for its flow."""
         now, counts = self.door.host.clock(), self.flow.counts
-        begun = now if inquiry.started is None else min(inquiry.started, now)
-        counts.held += max(0, begun - inquiry.arrived)
+        begun = now if request.started is None else min(request.started, now)
+        counts.held += max(0, begun - request.arrived)
         counts.run += now - begun
 
     # --- what comes -------------------------------------------------------------------------------
@@ -193,8 +193,8 @@
         try:
             if words[0] == b"REQ":
                 self.checks_only = False
-                report.count("dispatchers", "got inquiries")
-                self.inquiry(tag, words)
+                report.count("dispatchers", "got requests")
+                self.request(tag, words)
             elif words[0] == b"ABORT":
                 report.count("dispatchers", "got aborts")
                 case = self.cases.pop(tag, None)
@@ -204,8 +204,8 @@
                 report.count("dispatchers", "got checks")
                 self.send(tag, b"serving" if self.door.host.healthy else b"not_serving", self.said(), b"")
             else:
-                raise BadInquiryError(f"unknown word {words[0][:20]!r}")
-        except BadInquiryError as bad:
+                raise BadRequestError(f"unknown word {words[0][:20]!r}")
+        except BadRequestError as bad:
             report.count("dispatchers", "unusable arrays")
             report.note(f"dispatchers: {bad}")
             self.send(tag, WORDS[Answer.GIVEN_UP], self.said(), b"")
@@ -213,19 +213,19 @@
             if self.bad >= BAD_MOST:
                 self.refuse_all("too many unusable arrays")
         except Exception:
-            report.trouble("reading an inquiry")
+            report.trouble("reading a request")
             if tag in self.cases:
                 self.door.host.fail(self.cases[tag])
             else:
                 self.send(tag, WORDS[Answer.GIVEN_UP], self.said(), b"")
 
-    def inquiry(self, tag: int, words: list[bytes]) -> None:
+    def request(self, tag: int, words: list[bytes]) -> None:
         if len(self.cases) >= OPEN_MOST:
-            raise BadInquiryError("more open than a connection carries")
-        case, tenant = read_inquiry(words, self.door.host, self.door.tenants, partial(self.answer, tag))
+            raise BadRequestError("more open than a connection carries")
+        case, tenant = read_request(words, self.door.host, self.door.tenants, partial(self.answer, tag))
         self.cases[tag] = case
         if self.flow is not None:
-            self.door.flows.belongs(self.flow, tenant, case.inquiry.tariff.name, case.inquiry.caller)
+            self.door.flows.belongs(self.flow, tenant, case.request.tariff.name, case.request.caller)
         self.door.host.arrives(case)
 
     def refuse_all(self, why: str) -> None:
@@ -265,7 +265,7 @@
             counts.honoured += answer is Answer.HONOURED
             counts.deferred += answer is Answer.DEFERRED
             counts.given_up += answer is Answer.GIVEN_UP
-            self.add_times(case.inquiry)
+            self.add_times(case.request)
         fields = self.said()
         if answer is Answer.DEFERRED:
             fields += [b"w=%d" % (span // 1000)] if span else []
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -1,6 +1,6 @@
 """Drives the decisions: turns what happened into calls of `Node`, pulls decisions, and carries them out.
 
-It knows no wire. What reads inquiries (`dispatchers.py`, or another protocol beside it) hands each in as a
+It knows no wire. What reads requests (`dispatchers.py`, or another protocol beside it) hands each in as a
 `Case` with a way to answer it; the interpreter and the catalogue tell how runs and calls end.
 """
 
@@ -21,7 +21,7 @@
 from lichencleat.net.receipts import Receipts
 from lichencleat.net.report import Report
 from lichencleat.net.slots import Slots
-from lichencleat.terms import Act, Decision, Effect, Gauges, Inquiry, Machine, Outcome, State
+from lichencleat.terms import Act, Decision, Effect, Gauges, Machine, Outcome, Request, State
 
 GAUGES_WAIT = 40_000  # µs for the gauges at a wake-up: well under its period, and far over a usual answer
 STRAIN_CALLS, STRAIN_FAILED = 16, 6.0  # last calls, and strain for all of them failed: few are told early
@@ -35,10 +35,10 @@
 
 
 class Case:
-    """An inquiry in hand, and what the host needs to carry out what is decided on it."""
+    """A request in hand, and what the host needs to carry out what is decided on it."""
 
     __slots__ = (
-        "inquiry",
+        "request",
         "ident",
         "body",
         "key",
@@ -52,9 +52,9 @@
     )
 
     def __init__(
-        self, inquiry: Inquiry, ident: bytes, body: bytes, key: bytes, reply: Callable[..., None]
+        self, request: Request, ident: bytes, body: bytes, key: bytes, reply: Callable[..., None]
     ) -> None:
-        self.inquiry, self.ident, self.body, self.key = inquiry, ident, body, key
+        self.request, self.ident, self.body, self.key = request, ident, body, key
         self.reply = reply  # with the Answer, the result, the span to stay away, and whether to try elsewhere
         self.open = True  # an answer is owed
         self.run: Run | None = None
@@ -65,7 +65,7 @@
 
 
 class Door(Protocol):
-    """What reads inquiries, as far as the host has to know it."""
+    """What reads requests, as far as the host has to know it."""
 
     def close_idle(self, span: int) -> None: ...
 
@@ -102,7 +102,7 @@
         self.calls_granted: int | None = None  # None: nobody deals them out
         self.call_span: Callable[[int], int] = lambda span: span  # shortened where a grant ends before
         self.keyed: Any = None  # as keyed.keeper.Keeper, where receipts outlive a restart
-        self.able = self.trusted = True  # to record receipted inquiries; both have to hold
+        self.able = self.trusted = True  # to record receipted requests; both have to hold
         self.open_share = 1.0
         self.carries_out = {
             Act.START: self.start_run,
@@ -136,23 +136,23 @@
         self.stir()
 
     def arrives(self, case: Case) -> None:
-        self.report.count("host", "inquiries")
+        self.report.count("host", "requests")
         if self.node is None:
             self.answer(case, Answer.GIVEN_UP)
             return
-        case.inquiry.number = self.cases.take(case)
+        case.request.number = self.cases.take(case)
         self.idents.add(case.ident)
         if self.keyed is None or not case.key or self.keyed.arrives(case):
             self.takes(case)
 
     def takes(self, case: Case) -> None:
         """What is known of its key was looked up: now it is for the decisions."""
-        inquiry = case.inquiry
-        if case.key and (first := self.receipts.first(case.key, inquiry)) is not None:
-            inquiry.repeats, inquiry.repeats_unknown = first, False
-        elif case.key and not inquiry.repeats_unknown:
-            self.receipts.enter(case.key, inquiry)
-        self.node.arrives(self.clock(), inquiry)
+        request = case.request
+        if case.key and (first := self.receipts.first(case.key, request)) is not None:
+            request.repeats, request.repeats_unknown = first, False
+        elif case.key and not request.repeats_unknown:
+            self.receipts.enter(case.key, request)
+        self.node.arrives(self.clock(), request)
         self.stir()
 
     def refuses(self, case: Case) -> None:
@@ -170,13 +170,13 @@
             self.stir()
 
     def tell_left(self, case: Case) -> None:
-        self.node.caller_left(self.clock(), case.inquiry)
-        self.receipts.unshare(case.inquiry.repeats, case)
+        self.node.caller_left(self.clock(), case.request)
+        self.receipts.unshare(case.request.repeats, case)
         self.drop_call(case)
 
     def run_waits(self, case: Case, body: bytes) -> None:
         case.call_body = body
-        self.node.wants_call(self.clock(), case.inquiry)
+        self.node.wants_call(self.clock(), case.request)
         self.stir()
 
     def recorded(self, case: Case, outcome: Outcome, took: int, result: bytes) -> None:
@@ -187,13 +187,13 @@
     def run_ended(
         self, case: Case, outcome: Outcome, took: int, result: bytes, recorded: bool = False
     ) -> None:
-        now, inquiry, run = self.clock(), case.inquiry, case.run
+        now, request, run = self.clock(), case.request, case.run
         case.run = None
         self.drop_call(case)
         if self.keyed is not None and case.key and not recorded:
             if outcome in (Outcome.COMPLETED, Outcome.ERRED):
                 case.unsettled = True
-                self.node.outcome_waits(now, inquiry, took)
+                self.node.outcome_waits(now, request, took)
                 self.stir()
                 self.keyed.ran(
                     case, outcome, result, partial(self.tend, case, self.recorded, outcome, took, result)
@@ -202,16 +202,16 @@
             if outcome is not Outcome.UNREACHED:
                 self.keyed.ended(case)
         if outcome in (Outcome.STOPPED, Outcome.VOID) and not (run and run.stopping):
-            self.node.caller_left(now, inquiry)  # it ends by itself only where nobody waits any more
+            self.node.caller_left(now, request)  # it ends by itself only where nobody waits any more
         if outcome is Outcome.UNREACHED:
-            inquiry.started = None  # proved: a repeat of it may run
-        self.node.run_ended(now, inquiry, outcome, took)
+            request.started = None  # proved: a repeat of it may run
+        self.node.run_ended(now, request, outcome, took)
         well = outcome is Outcome.COMPLETED
         if well:
             self.answer(case, Answer.HONOURED, result)
-        if inquiry.state is State.ENDED:
+        if request.state is State.ENDED:
             self.answer(case, Answer.GIVEN_UP)
-            for sharer in self.receipts.ended(inquiry, result if well else None):
+            for sharer in self.receipts.ended(request, result if well else None):
                 self.end_share(sharer, result if well else None)
             self.release(case)
         self.stir()
@@ -223,7 +223,7 @@
         now = self.clock()
         if outcome is Outcome.COMPLETED and case.run is not None:
             self.interpreter.resolve(case.run, reply)
-        self.node.call_ended(now, case.inquiry, outcome, now - case.inquiry.called_at)
+        self.node.call_ended(now, case.request, outcome, now - case.request.called_at)
         self.stir()
 
     def may_call(self, most: int) -> None:
@@ -235,7 +235,7 @@
     def calls_wanted(self) -> tuple[int, int]:
         """How many are out, and how many would be if they might."""
         out = sum(case.call is not None for case in self.cases)
-        waiting = sum(case.inquiry.state is State.ASKING for case in self.cases)
+        waiting = sum(case.request.state is State.ASKING for case in self.cases)
         return out, out + waiting
 
     def must_leave(self, at: int) -> None:
@@ -262,7 +262,7 @@
         self.stir()
 
     def tend(self, case: Case, happened: Callable[..., None], *values: Any) -> None:
-        """Guards the node against an error with one inquiry: that one fails, the others go on."""
+        """Guards the node against an error with one request: that one fails, the others go on."""
         try:
             happened(case, *values)
         except Exception:
@@ -274,8 +274,8 @@
         self.drop_call(case)
         if case.run is not None:
             self.interpreter.halt(case.run)
-        elif case.inquiry.number >= 0:
-            self.node.run_ended(self.clock(), case.inquiry, Outcome.ERRED, 0)
+        elif case.request.number >= 0:
+            self.node.run_ended(self.clock(), case.request, Outcome.ERRED, 0)
             self.release(case)
         self.stir()
 
@@ -300,17 +300,17 @@
             self.deadlines.after(AFTER_ERROR, self.stir)
         shares, self.shares = self.shares, []
         for case in shares:
-            receipt = self.receipts.by_inquiry.get(case.inquiry.repeats)
+            receipt = self.receipts.by_request.get(case.request.repeats)
             self.end_share(case, receipt.result if receipt else None)
 
     def carry_out(self, decision: Decision) -> None:
-        """Guards the node against an error with one inquiry: that one is given up, the others go on."""
+        """Guards the node against an error with one request: that one is given up, the others go on."""
         case = None
         try:
-            if decision.inquiry is not None and decision.act is not Act.STRIKE:
-                case = self.cases.get(decision.inquiry.number)
-                if case is None or case.inquiry is not decision.inquiry:
-                    self.report.count("host", f"decisions on ended inquiries: {decision.act.name}")
+            if decision.request is not None and decision.act is not Act.STRIKE:
+                case = self.cases.get(decision.request.number)
+                if case is None or case.request is not decision.request:
+                    self.report.count("host", f"decisions on ended requests: {decision.act.name}")
                     return
             self.carries_out[decision.act](decision, case)
         except Exception:
@@ -352,9 +352,9 @@
     def not_begun(self, case: Case) -> None:
         """Its entry could not be made: nothing was begun, and the decisions are asked again."""
         case.unsettled = False
-        if case.inquiry.state is not State.ENDED:
-            self.receipts.unrecord(case.inquiry)
-            self.node.not_recorded(self.clock(), case.inquiry)
+        if case.request.state is not State.ENDED:
+            self.receipts.unrecord(case.request)
+            self.node.not_recorded(self.clock(), case.request)
         self.release(case)
         self.stir()
 
@@ -383,7 +383,7 @@
             partial(self.tend, case, self.run_waits),
             partial(self.tend, case, self.run_ended),
         )
-        tariff = case.inquiry.tariff
+        tariff = case.request.tariff
         self.interpreter.apply(case.run, tariff.name.encode(), case.body, tariff.effect is Effect.PURE)
 
     def stop_run(self, decision: Decision, case: Case) -> None:
@@ -393,13 +393,13 @@
     def defer(self, decision: Decision, case: Case) -> None:
         self.drop_call(case)
         self.answer(case, Answer.DEFERRED, span=decision.span, last=decision.flag)
-        for sharer in self.receipts.ended(case.inquiry, None) if self.keyed is not None else ():
+        for sharer in self.receipts.ended(case.request, None) if self.keyed is not None else ():
             self.end_share(sharer, None)  # they waited for a run that was not begun after all
         self.release(case)
 
     def give_up(self, decision: Decision, case: Case) -> None:
         self.drop_call(case)
-        self.receipts.unshare(case.inquiry.repeats, case)
+        self.receipts.unshare(case.request.repeats, case)
         self.answer(case, Answer.GIVEN_UP)
         self.release(case)
 
@@ -417,18 +417,18 @@
             call.ended.cancel()
 
     def record(self, decision: Decision, case: Case) -> None:
-        self.receipts.record(self.clock(), case.key, case.inquiry, decision.span)
+        self.receipts.record(self.clock(), case.key, case.request, decision.span)
         if self.keyed is not None and case.key:
             self.keyed.intends(case, decision.span)
 
     def strike(self, decision: Decision, case: Case | None) -> None:
-        self.receipts.strike(decision.inquiry)
+        self.receipts.strike(decision.request)
         if self.keyed is not None:
-            self.keyed.strikes(decision.inquiry)
+            self.keyed.strikes(decision.request)
 
     def share(self, decision: Decision, case: Case) -> None:
         """An outcome that is there already is answered after this round: inputs wait for its end."""
-        first = case.inquiry.repeats
+        first = case.request.repeats
         if first is None and self.keyed is not None:
             self.keyed.share(case)
             return
@@ -438,7 +438,7 @@
 
     def end_share(self, case: Case, result: bytes | None) -> None:
         outcome = Outcome.ERRED if result is None else Outcome.COMPLETED
-        self.node.run_ended(self.clock(), case.inquiry, outcome, 0)
+        self.node.run_ended(self.clock(), case.request, outcome, 0)
         self.answer(case, Answer.GIVEN_UP if result is None else Answer.HONOURED, result or b"")
         self.release(case)
         self.stir()
@@ -473,15 +473,15 @@
 
     def release(self, case: Case) -> None:
         """Gives the case back once it is neither owed an answer nor run."""
-        if case.open or case.run is not None or case.unsettled or case.inquiry.number < 0:
+        if case.open or case.run is not None or case.unsettled or case.request.number < 0:
             return
-        self.receipts.over(case.inquiry)
+        self.receipts.over(case.request)
         self.idents.discard(case.ident)
-        self.cases.give_back(case.inquiry.number)
-        case.inquiry.number = -1
+        self.cases.give_back(case.request.number)
+        case.request.number = -1
 
     def beliefs(self) -> str:
-        states = Counter(each.inquiry.state.name.lower() for each in self.cases)
+        states = Counter(each.request.state.name.lower() for each in self.cases)
         held = ", ".join(f"{count} {name}" for name, count in sorted(states.items()))
         value = "none" if self.free_value is None else f"{self.free_value:.2f}"
         health = "on" if self.healthy else "off"
--- a/lichencleat/net/receipts.py
+++ b/lichencleat/net/receipts.py
@@ -1,20 +1,20 @@
-"""Receipts: which try of an inquiry holds the entry of its key, its result, and who waits for that."""
+"""Receipts: which try of a request holds the entry of its key, its result, and who waits for that."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from lichencleat.net.deadlines import Deadline, Deadlines
-from lichencleat.terms import Inquiry, State
+from lichencleat.terms import Request, State
 
 READ_LATE = 10_000_000  # µs, and the hard limit: as late as a try that came in time may be read, or a run end
 
 
 class Receipt:
-    __slots__ = ("key", "inquiry", "until", "result", "sharers", "gone")
+    __slots__ = ("key", "request", "until", "result", "sharers", "gone")
 
-    def __init__(self, key: bytes, inquiry: Inquiry) -> None:
-        self.key, self.inquiry = key, inquiry
+    def __init__(self, key: bytes, request: Request) -> None:
+        self.key, self.request = key, request
         self.until: int | None = None  # None before the decisions have it recorded
         self.result: bytes | None = None
         self.sharers: dict[Any, None] = {}  # who waits for the outcome, in their order
@@ -23,7 +23,7 @@
     def leads(self, arrived: int) -> bool:
         """Is it the one that a try which arrived then repeats?"""
         if self.until is None:
-            return self.inquiry.state is not State.ENDED
+            return self.request.state is not State.ENDED
         return arrived <= self.until
 
 
@@ -33,41 +33,41 @@
     def __init__(self, deadlines: Deadlines) -> None:
         self.deadlines = deadlines
         self.by_key: dict[bytes, Receipt] = {}
-        self.by_inquiry: dict[Inquiry, Receipt] = {}
+        self.by_request: dict[Request, Receipt] = {}
 
-    def read(self, key: bytes, inquiry: Inquiry) -> Inquiry | None:
+    def read(self, key: bytes, request: Request) -> Request | None:
         """The try that this one repeats, or None: then the tries to come repeat this one."""
-        first = self.first(key, inquiry)
+        first = self.first(key, request)
         if first is None:
-            self.enter(key, inquiry)
+            self.enter(key, request)
         return first
 
-    def first(self, key: bytes, inquiry: Inquiry) -> Inquiry | None:
+    def first(self, key: bytes, request: Request) -> Request | None:
         """The try that this one repeats, if any."""
         receipt = self.by_key.get(key)
-        return receipt.inquiry if receipt is not None and receipt.leads(inquiry.arrived) else None
+        return receipt.request if receipt is not None and receipt.leads(request.arrived) else None
 
-    def enter(self, key: bytes, inquiry: Inquiry) -> Receipt:
-        """The one before of that key stays with its inquiry: a repeat that came in time may yet share it."""
-        receipt = self.by_key[key] = self.by_inquiry[inquiry] = Receipt(key, inquiry)
+    def enter(self, key: bytes, request: Request) -> Receipt:
+        """The one before of that key stays with its request: a repeat that came in time may yet share it."""
+        receipt = self.by_key[key] = self.by_request[request] = Receipt(key, request)
         return receipt
 
-    def record(self, now: int, key: bytes, inquiry: Inquiry, span: int) -> None:
-        receipt = self.by_inquiry.get(inquiry) or self.enter(key, inquiry)
+    def record(self, now: int, key: bytes, request: Request, span: int) -> None:
+        receipt = self.by_request.get(request) or self.enter(key, request)
         receipt.until = now + span
         self.deadlines.cancel(receipt.gone)
-        late = READ_LATE + inquiry.tariff.hard_limit
+        late = READ_LATE + request.tariff.hard_limit
         receipt.gone = self.deadlines.after(span + late, self.forget, receipt)
 
-    def unrecord(self, inquiry: Inquiry) -> None:
+    def unrecord(self, request: Request) -> None:
         """Its entry was not made after all: until it is recorded again, it counts while it is in hand."""
-        receipt = self.by_inquiry.get(inquiry)
+        receipt = self.by_request.get(request)
         if receipt is not None:
             receipt.until = None
             self.deadlines.cancel(receipt.gone)
 
-    def strike(self, inquiry: Inquiry) -> None:
-        receipt = self.by_inquiry.get(inquiry)
+    def strike(self, request: Request) -> None:
+        receipt = self.by_request.get(request)
         if receipt is not None:
             self.forget(receipt)
 
@@ -75,31 +75,31 @@
         self.deadlines.cancel(receipt.gone)
         if self.by_key.get(receipt.key) is receipt:
             del self.by_key[receipt.key]
-        self.by_inquiry.pop(receipt.inquiry, None)
+        self.by_request.pop(receipt.request, None)
 
-    def share(self, inquiry: Inquiry, sharer: Any) -> Receipt | None:
+    def share(self, request: Request, sharer: Any) -> Receipt | None:
         """The receipt of that try; where its outcome is not there yet, the sharer waits at it."""
-        receipt = self.by_inquiry.get(inquiry)
-        if receipt is not None and inquiry.state is not State.ENDED:
+        receipt = self.by_request.get(request)
+        if receipt is not None and request.state is not State.ENDED:
             receipt.sharers[sharer] = None
         return receipt
 
-    def unshare(self, inquiry: Inquiry | None, sharer: Any) -> None:
-        receipt = self.by_inquiry.get(inquiry) if inquiry else None
+    def unshare(self, request: Request | None, sharer: Any) -> None:
+        receipt = self.by_request.get(request) if request else None
         if receipt is not None:
             receipt.sharers.pop(sharer, None)
 
-    def ended(self, inquiry: Inquiry, result: bytes | None) -> list[Any]:
+    def ended(self, request: Request, result: bytes | None) -> list[Any]:
         """Keeps the result of the try that ran; gives those that waited for it."""
-        receipt = self.by_inquiry.get(inquiry)
+        receipt = self.by_request.get(request)
         if receipt is None:
             return []
         receipt.result = result
         sharers, receipt.sharers = list(receipt.sharers), {}
         return sharers
 
-    def over(self, inquiry: Inquiry) -> None:
-        """That inquiry is done with: an entry that was never recorded goes with it."""
-        receipt = self.by_inquiry.get(inquiry)
+    def over(self, request: Request) -> None:
+        """That request is done with: an entry that was never recorded goes with it."""
+        receipt = self.by_request.get(request)
         if receipt is not None and receipt.until is None:
             self.forget(receipt)
--- a/lichencleat/net/inquiries.py
+++ b/lichencleat/net/requests.py
@@ -1,4 +1,4 @@
-"""An inquiry read from its array: every field in its form and range, and the key that tells its repeats."""
+"""A request read from its array: every field in its form and range, and the key that tells its repeats."""
 
 from __future__ import annotations
 
@@ -7,13 +7,13 @@
 from hashlib import blake2b
 
 from lichencleat.net.host import Case, Host
-from lichencleat.terms import Effect, Inquiry
+from lichencleat.terms import Effect, Request
 
 BODY_MOST = 2_048  # bytes, by the protocol
 AHEAD_MOST = 1_000_000  # µs that an arrival may lie ahead of our clock, which is the same machine's
 BEHIND_MOST = 10_000_000  # µs past its hard limit that one may be read, by a machine that paused
 HINT_MOST = 60_000.0  # ms of work that a caller may expect: ten times the longest wait for an answer
-SIZE_MOST = 2_000.0  # KB booked for an inquiry, by the protocol
+SIZE_MOST = 2_000.0  # KB booked for a request, by the protocol
 KEY_MARK = 16  # bytes: no two marks meet by chance, nor by a hostile caller's choice
 FORMS = {  # of the fields, by the protocol: nothing that merely converts
     b"i": re.compile(rb"[0-9a-fA-F]{16}"),
@@ -27,7 +27,7 @@
 }
 
 
-class BadInquiryError(Exception):
+class BadRequestError(Exception):
     """An array that is none; its text says what is wrong."""
 
 
@@ -44,16 +44,16 @@
     return said
 
 
-def read_inquiry(
+def read_request(
     words: list[bytes], host: Host, tenants: frozenset[bytes], reply: Callable[..., None]
 ) -> tuple[Case, bytes]:
-    """The inquiry in hand, and its tenant. Raises BadInquiryError with what is wrong."""
+    """The request in hand, and its tenant. Raises BadRequestError with what is wrong."""
     if not 4 <= len(words) <= 5:
-        raise BadInquiryError(f"{len(words)} words")
+        raise BadRequestError(f"{len(words)} words")
     body = words[4] if len(words) == 5 else b""
     tariff = host.tariffs.get(words[2])
     if tariff is None or len(body) > BODY_MOST:
-        raise BadInquiryError(f"tariff {words[2][:40]!r}, body of {len(body)} bytes")
+        raise BadRequestError(f"tariff {words[2][:40]!r}, body of {len(body)} bytes")
     now = host.clock()
     try:
         said = fields(words[3])
@@ -65,7 +65,7 @@
             raise ValueError("not of this time")
         if not 0 < size_kb < SIZE_MOST or cost_ms > HINT_MOST or ident in host.idents:
             raise ValueError("a figure out of range, or an id in hand")
-        inquiry = Inquiry(
+        request = Request(
             tariff=tariff,
             arrived=arrived,
             due=max(arrived + tariff.hard_limit, now),
@@ -77,12 +77,12 @@
         )
         key = said[b"k"] + mark(tenant, words[2], body) if tariff.effect is Effect.RECEIPTED else b""
     except (KeyError, ValueError) as wrong:
-        raise BadInquiryError(f"fields {words[3][:120]!r}: {wrong!r}") from wrong
-    return Case(inquiry, ident, body, key, reply), tenant
+        raise BadRequestError(f"fields {words[3][:120]!r}: {wrong!r}") from wrong
+    return Case(request, ident, body, key, reply), tenant
 
 
 def mark(*parts: bytes) -> bytes:
-    """Guards against the key of another: tries of one inquiry have its tenant, tariff and body as well.
+    """Guards against the key of another: tries of one request have its tenant, tariff and body as well.
 
     Each part goes in with its length, so that no two lots of parts read alike.
     """
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -7,7 +7,7 @@
 
 
 class Effect(Enum):
-    """What a second run of an inquiry would do."""
+    """What a second run of a request would do."""
 
     PURE = auto()  # no harm
     RECEIPTED = auto()  # must not happen; a mark tells the repeat
@@ -32,7 +32,7 @@
 
 
 class Below(Enum):
-    """What the inquiries of this node call."""
+    """What the requests of this node call."""
 
     NOTHING = auto()
     SHARED = auto()  # one dependency, common to all nodes
@@ -53,7 +53,7 @@
 
 
 class State(Enum):
-    """Where an inquiry stands on this node."""
+    """Where a request stands on this node."""
 
     HELD = auto()
     RUNNING = auto()
@@ -90,7 +90,7 @@
     hard_limit: int = 0
     payoff: float = 1.0
     late_payoff: float = 0.0  # share of the payoff earned after the soft limit
-    stretch: float = 0.0  # the soft limit grows by this multiple of the inquiry's own work
+    stretch: float = 0.0  # the soft limit grows by this multiple of the request's own work
     window: int = 0  # receipted: how long after its arrival it may come again
     calls: bool = False
     payoff_without_call: float = 0.0  # share of the payoff kept where a call was omitted
@@ -102,9 +102,9 @@
 
     cores: int = 1
     memory_kb: float = 0.0
-    run_factor: float = 1.0  # memory of a running inquiry, in that of a held one
+    run_factor: float = 1.0  # memory of a running request, in that of a held one
     receipt_kb: float = 0.0
-    crowd: float = 2.0  # running inquiries on the cores, for each core, that a warm node survives
+    crowd: float = 2.0  # running requests on the cores, for each core, that a warm node survives
     cold: bool = False
     cold_share: float = 1.0  # of its speed, at the least, at a cold start
     warm_after: int = 0
@@ -116,25 +116,25 @@
     calls_share: float = 0.0  # this node's part of the calls that the dependency survives
     calls_span: int = 0
     connections_idle: int = 0  # after which callers close them, 0 where not told
-    fresh: int = 0  # how long the answer of a pure inquiry may serve its repeats, 0 for never
+    fresh: int = 0  # how long the answer of a pure request may serve its repeats, 0 for never
     full_checks: bool = False  # health checks do real work unless answered from store
     grace: int = 0  # after the notice to leave, what arrives later is not run
     resolution: int = 0
-    time_told: bool = False  # inquiries tell how long their caller waits
-    paid_by_work: bool = False  # the payoff is for each unit of work, not for each inquiry
+    time_told: bool = False  # requests tell how long their caller waits
+    paid_by_work: bool = False  # the payoff is for each unit of work, not for each request
     tariffs: list[Tariff] = field(default_factory=list)
 
 
 @dataclass(eq=False, slots=True, weakref_slot=True)
-class Inquiry:
+class Request:
     tariff: Tariff
     arrived: int  # at the machine, before it was read
     due: int  # by now it must have its answer
     place: float = 0.0
     caller: int = 0
-    repeats: Inquiry | None = None
+    repeats: Request | None = None
     repeats_unknown: bool = False  # it repeats one that the host no longer has
-    successor: Inquiry | None = None  # the repeat that took its place, as it never ran
+    successor: Request | None = None  # the repeat that took its place, as it never ran
     has_subject: bool = False
     further_try: bool = False
     cost: int = 0  # core time expected, 0 where not told
@@ -146,7 +146,7 @@
     called_at: int = 0
     call_after: int = 0
     calls_failed: int = 0
-    number: int = -1  # the host's own, for hosts that keep inquiries in numbered slots
+    number: int = -1  # the host's own, for hosts that keep requests in numbered slots
 
 
 @dataclass(slots=True)
@@ -162,7 +162,7 @@
 @dataclass(slots=True)
 class Decision:
     act: Act
-    inquiry: Inquiry | None = None
+    request: Request | None = None
     span: int = 0  # of an advice, a call, a record, idleness or a wake-up; 0 for none
     amount: float = 0.0  # the free value
     flag: bool = False  # DEFER: no try elsewhere; HEALTH: good
--- a/lichencleat/zones/__init__.py
+++ b/lichencleat/zones/__init__.py
@@ -7,5 +7,5 @@
 
 Decisions, all without I/O: `state.py` evidence and orders, a part of the group's state; `judge.py` the
 owner's looks; `near.py` what a router spills; `budget.py` how often it tries again; `leave_out.py` which
-nodes it avoids. The process that carries inquiries by them is not built yet.
+nodes it avoids. The process that carries requests by them is not built yet.
 """
--- a/lichencleat/zones/terms.py
+++ b/lichencleat/zones/terms.py
@@ -23,7 +23,7 @@
 
 class Zone(msgspec.Struct, array_like=True):
     region: str
-    carries: float  # inquiries a second that it is known to stand
+    carries: float  # requests a second that it is known to stand
     far: dict[str, int] = {}  # µs of the round trip to other zones
 
 
@@ -33,7 +33,7 @@
     number: int = 0
     token: int = 0  # of the owner that gave it
     duties: dict[str, int] = {}
-    guests: dict[str, float] = {}  # inquiries a second that each zone may be sent by all others together
+    guests: dict[str, float] = {}  # requests a second that each zone may be sent by all others together
     edge: dict[
         str, float
     ] = {}  # share of a zone's own arrivals that nobody can carry: deferred where they come
@@ -59,7 +59,7 @@
     router: str
     zone: str
     order: int  # the newest that it knows
-    offered: float  # inquiries a second that came to it
+    offered: float  # requests a second that came to it
     seen: dict[str, Seen]
 
 
--- a/tests/fleet/revive.py
+++ b/tests/fleet/revive.py
@@ -2,7 +2,7 @@
 
 Three voters, eight nodes in two zones with receipts on held-back disks, engines and one dependency that
 outlive the cut, callers that ask again and again. Power goes for all, a zone, all twice; links are cut while
-they return. Judged: no receipted inquiry runs twice on a node, nothing is honoured that no run made, nothing
+they return. Judged: no receipted request runs twice on a node, nothing is honoured that no run made, nothing
 is answered twice, the dependency never has more than its limit; and every node is open again, or the fleet
 says what it waits for. Some wake with a wrong clock, an empty disk, a copy of theirs, or as an older version.
 """
--- a/tests/fleet/shares_drawn.py
+++ b/tests/fleet/shares_drawn.py
@@ -40,7 +40,7 @@
 
 
 class Load:
-    """Keeps so many pure inquiries with a call open at a node."""
+    """Keeps so many pure requests with a call open at a node."""
 
     def __init__(self, rig: Rig, node: RigNode, open_: int) -> None:
         self.rig, self.node, self.open = rig, node, open_
@@ -198,7 +198,7 @@
                 ran.wrong = f"{fleet.below.most} in hand below, and the limit is {LIMIT}"
             for load in fleet.loads.values():
                 if any(len(each.answers) > 1 for each in load.caller.said):
-                    ran.wrong = f"an inquiry of {load.node.name} was answered twice"
+                    ran.wrong = f"a request of {load.node.name} was answered twice"
         except AssertionError as wrong:
             ran.wrong = str(wrong)
         finally:
--- a/tests/flows/test_meter.py
+++ b/tests/flows/test_meter.py
@@ -81,7 +81,7 @@
     ]
 
 
-def test_the_tariff_is_told_where_all_inquiries_of_a_record_have_the_same(meter):
+def test_the_tariff_is_told_where_all_requests_of_a_record_have_the_same(meter):
     flow = meter.opened(0, THERE, HERE)
     for tariffs in (["look", "look"], ["look", "save", "look"], []):
         for tariff in tariffs:
@@ -180,7 +180,7 @@
             if flow.tenant:
                 by_tenant[flow.tenant] = by_tenant.get(flow.tenant, 0) + which + 1
         elif what == "tenant":
-            if not flow.tenant:  # what came before the first inquiry is its tenant's as well
+            if not flow.tenant:  # what came before the first request is its tenant's as well
                 early = flow.counts.octets()
                 if early:
                     by_tenant[f"t{which}"] = by_tenant.get(f"t{which}", 0) + early
--- a/tests/flows/test_node.py
+++ b/tests/flows/test_node.py
@@ -12,7 +12,7 @@
 import sys
 
 import pytest
-from standins import PATIENCE, Program, array, inquiry
+from standins import PATIENCE, Program, array, request
 
 IDS = [f"{n:016x}" for n in range(1, 200)]
 
@@ -90,7 +90,7 @@
 
 
 def honour(program, caller, ident):
-    caller.send(inquiry(1, b"look", ident, b"x" * 100))
+    caller.send(request(1, b"look", ident, b"x" * 100))
     program.interpreter.next()
     program.interpreter.notice(b"VALUE %s PASS 5" % ident.encode(), b"y" * 300)
     assert caller.answer()[1] == b"200"
@@ -107,9 +107,9 @@
             honour(program, caller, IDS[at * 10 + n])
     callers[1].peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     callers[1].peer.close()  # a reset
-    callers[2].send(inquiry(9, b"look", IDS[150], b"never answered"))
+    callers[2].send(request(9, b"look", IDS[150], b"never answered"))
     program.interpreter.next()
-    callers[2].peer.close()  # vanishes with an inquiry in hand
+    callers[2].peer.close()  # vanishes with a request in hand
     callers[3].send(array(b"HEALTH", b"5", b""))
     callers[3].answer()
     program.leave()
@@ -168,7 +168,7 @@
 def test_links_are_metered_where_the_file_says_so(tmp_path, started, collect):
     program = started(chosen(tmp_path, (collect.udp, "ipfix-udp"), links=True, flush_s=0.5))
     caller = Caller(program.ready())
-    caller.send(inquiry(1, b"look", IDS[0], b"x" * 100))
+    caller.send(request(1, b"look", IDS[0], b"x" * 100))
     program.interpreter.next()
     program.interpreter.notice(b"AWAIT " + IDS[0].encode(), b"c" * 1_000)
     peer, _, _ = program.catalogue.next()
--- a/tests/keyed/keyed_life.py
+++ b/tests/keyed/keyed_life.py
@@ -16,7 +16,7 @@
 from lichencleat.store.faulty import FaultyDisk, PowerCutError, by_chance
 from lichencleat.store.room import Bounds
 from lichencleat.store.store import Store
-from lichencleat.terms import Effect, Inquiry, Machine, Outcome, Tariff
+from lichencleat.terms import Effect, Machine, Outcome, Request, Tariff
 
 SECOND = 1_000_000
 LOOK = Tariff("look", soft_limit=2 * SECOND, hard_limit=6 * SECOND)
@@ -154,7 +154,7 @@
         from hashlib import blake2b
 
         tariff, now = (LOOK if pure else SAVE), self.clock()
-        inquiry = Inquiry(tariff, now, now + tariff.hard_limit, size_kb=1.0)
+        request = Request(tariff, now, now + tariff.hard_limit, size_kb=1.0)
         whole = b"" if pure else key + blake2b(b"save " + body, digest_size=16).digest()
         ident = b"%s-%d" % (b"%d" % id(self), number)
 
@@ -162,7 +162,7 @@
             assert number not in self.answers, "answered twice"
             self.answers[number] = (answer.value, result)
 
-        self.cases[number] = case = Case(inquiry, ident, key + body, whole, reply)
+        self.cases[number] = case = Case(request, ident, key + body, whole, reply)
         self.host.arrives(case)
         self.turn()
 
--- a/tests/keyed/kills.py
+++ b/tests/keyed/kills.py
@@ -99,7 +99,7 @@
         wait_until(
             lambda: all(each.answers or each.lost for each in asked), "the last answers", self.node.said
         )
-        self.ran.wrong = "an inquiry was lost" if any(each.lost for each in asked) else None
+        self.ran.wrong = "a request was lost" if any(each.lost for each in asked) else None
 
     def answers(self) -> Counter:
         found: Counter = Counter()
--- a/tests/net/conftest.py
+++ b/tests/net/conftest.py
@@ -12,7 +12,7 @@
 from lichencleat.net.host import Case, Host
 from lichencleat.net.interpreter import Interpreter, Link, Run
 from lichencleat.net.report import Report
-from lichencleat.terms import Effect, Inquiry, Machine, Tariff
+from lichencleat.terms import Effect, Machine, Request, Tariff
 
 
 @pytest.fixture
@@ -64,8 +64,8 @@
 
 @pytest.fixture
 def case(host, tariff, answers):
-    made = Case(Inquiry(tariff, 0, 5 * SECOND), ID, b"x", b"", lambda *answer: answers.append(answer[0]))
-    made.inquiry.number = host.cases.take(made)
+    made = Case(Request(tariff, 0, 5 * SECOND), ID, b"x", b"", lambda *answer: answers.append(answer[0]))
+    made.request.number = host.cases.take(made)
     return made
 
 
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -1,12 +1,12 @@
 """Parts of the real node, with a clock and transports in memory: connections."""
 
 import pytest
-from net_parts import CHECK, ID, INQUIRY, SECOND, Transport
+from net_parts import CHECK, ID, REQUEST, SECOND, Transport
 
 from lichencleat.net.dispatchers import BAD_MOST, Dispatchers
 from lichencleat.net.host import Answer
-from lichencleat.net.inquiries import mark
 from lichencleat.net.membership import Membership
+from lichencleat.net.requests import mark
 
 
 def test_after_its_leave_the_node_reports_no_more(reactor, deadlines, report):
@@ -19,9 +19,9 @@
     assert sent == [b"HB n1 UP", b"HB n1 OUT"]
 
 
-def test_an_inquiry_under_an_id_in_hand_is_given_up(connection):
-    connection.dataReceived(INQUIRY % ID)
-    connection.dataReceived(INQUIRY.replace(b"$1\r\n7", b"$1\r\n8") % ID)
+def test_a_request_under_an_id_in_hand_is_given_up(connection):
+    connection.dataReceived(REQUEST % ID)
+    connection.dataReceived(REQUEST.replace(b"$1\r\n7", b"$1\r\n8") % ID)
     assert list(connection.cases) == [7] and b"$1\r\n8\r\n$3\r\n500" in connection.transport.value()
 
 
@@ -34,15 +34,15 @@
 
 
 def test_an_error_at_an_arrival_is_answered_and_leaves_nothing_behind(connection, host, report):
-    host.node.arrives = lambda now, inquiry: 1 / 0
-    connection.dataReceived(INQUIRY % ID)
+    host.node.arrives = lambda now, request: 1 / 0
+    connection.dataReceived(REQUEST % ID)
     assert b"500" in connection.transport.value() and report.counts["node errors"] == 1
     assert not connection.cases and not len(host.cases) and not host.idents
 
 
 def test_a_tag_in_use_ends_the_connection_after_its_answer(connection, reactor):
-    connection.dataReceived(INQUIRY % ID)
-    connection.dataReceived(INQUIRY % b"00000000000000b2")
+    connection.dataReceived(REQUEST % ID)
+    connection.dataReceived(REQUEST % b"00000000000000b2")
     reactor.advance(0)
     assert len(connection.cases) == 1 and not connection.transport.ended
     connection.cases[7].reply(Answer.HONOURED, b"x", 0, False)
@@ -112,18 +112,18 @@
     assert connection.transport.ended and not report.counts["node errors"]
 
 
-def test_more_inquiries_than_a_connection_carries_are_answered_as_failed(connection):
+def test_more_requests_than_a_connection_carries_are_answered_as_failed(connection):
     connection.cases = dict.fromkeys(range(100, 132))
-    connection.dataReceived(INQUIRY % ID)
+    connection.dataReceived(REQUEST % ID)
     assert b"500" in connection.transport.value()
 
 
-def test_the_key_of_an_inquiry_with_another_body_is_another_key(connection, host):
+def test_the_key_of_a_request_with_another_body_is_another_key(connection, host):
     host.clock = lambda: SECOND
     for tag, ident, body in ((1, ID, b"x"), (2, b"00000000000000b2", b"y"), (3, b"00000000000000c3", b"x")):
         said = b"i=%s,s=1000,f=1,m=9,p=0.5,k=%s" % (ident, b"5c" * 16)
         connection.take([b"REQ", b"%d" % tag, b"save", said, body])
-    first, other, repeat = (each.inquiry for each in connection.cases.values())
+    first, other, repeat = (each.request for each in connection.cases.values())
     assert repeat.repeats is first and other.repeats is None
 
 
@@ -133,7 +133,7 @@
     for tag, tenant in ((1, b"acme"), (2, b"other"), (3, b"acme")):
         said = b"i=%016d,s=1000,f=1,m=9,p=0.5,t=%s,k=%s" % (tag, tenant, b"5c" * 16)
         connection.take([b"REQ", b"%d" % tag, b"save", said, b"x"])
-    first, other, repeat = (each.inquiry for each in connection.cases.values())
+    first, other, repeat = (each.request for each in connection.cases.values())
     assert repeat.repeats is first and other.repeats is None
     assert mark(b"", b"a", b"b c") != mark(b"", b"a b", b"c") != mark(b"a", b"b", b"c")
 
--- a/tests/net/test_ends.py
+++ b/tests/net/test_ends.py
@@ -1,7 +1,7 @@
 """Parts of the real node, with a clock and transports in memory: how connections end."""
 
 import pytest
-from net_parts import CHECK, ID, INQUIRY, Transport
+from net_parts import CHECK, ID, REQUEST, Transport
 
 from lichencleat.net.catalogue import links_most
 from lichencleat.net.dispatchers import OWN, SPARE, Dispatchers
@@ -32,7 +32,7 @@
 
 def test_what_came_before_the_end_is_read_before_it_and_puts_it_off(connection, reactor):
     connection.end()
-    connection.dataReceived(INQUIRY % ID)  # the reactor reads once between the two steps
+    connection.dataReceived(REQUEST % ID)  # the reactor reads once between the two steps
     reactor.advance(0)
     assert list(connection.cases) == [7] and not connection.transport.ended
 
@@ -41,7 +41,7 @@
     connection.end()
     reactor.advance(0)
     assert connection.transport.ended
-    connection.dataReceived(INQUIRY % ID)
+    connection.dataReceived(REQUEST % ID)
     assert not connection.cases and not len(host.cases) and not connection.transport.value()
     connection.writeConnectionLost()
     assert not connection.transport.disconnecting  # the caller has its time to read and to end its side
@@ -50,10 +50,10 @@
     assert connection.transport.disconnecting and not connection.transport.aborted
 
 
-def test_a_caller_asked_to_go_whose_inquiry_crossed_that_is_answered_and_then_ended(connection, reactor):
+def test_a_caller_asked_to_go_whose_request_crossed_that_is_answered_and_then_ended(connection, reactor):
     connection.dataReceived(CHECK)
     connection.go_away()
-    connection.dataReceived(INQUIRY % ID)
+    connection.dataReceived(REQUEST % ID)
     for _ in range(5):
         reactor.advance(0.3)
     assert not connection.transport.ended
@@ -64,16 +64,16 @@
 
 
 def test_an_array_that_came_slowly_still_counts_until_its_connection_ends(connection, reactor):
-    connection.dataReceived(CHECK + (INQUIRY % ID)[:40])
+    connection.dataReceived(CHECK + (REQUEST % ID)[:40])
     reactor.advance(1.1)
     reactor.advance(0)
     assert b"goaway" in connection.transport.value()
-    connection.dataReceived((INQUIRY % ID)[40:])
+    connection.dataReceived((REQUEST % ID)[40:])
     assert list(connection.cases) == [7]
 
 
 def test_an_abort_is_heard_on_a_connection_that_is_to_end(connection, reactor, host):
-    connection.dataReceived(INQUIRY % ID)
+    connection.dataReceived(REQUEST % ID)
     connection.go_away()
     connection.dataReceived(b"*2\r\n$5\r\nABORT\r\n$1\r\n7\r\n")
     assert not connection.cases and not host.owed()
@@ -87,7 +87,7 @@
 
 
 def test_a_caller_that_ended_its_side_is_gone_and_what_was_written_goes_out(connection, reactor, host):
-    connection.dataReceived(CHECK + INQUIRY % ID)
+    connection.dataReceived(CHECK + REQUEST % ID)
     connection.readConnectionLost()
     assert not connection.cases and not host.owed()
     assert connection.transport.disconnecting and connection.transport.producer is None
--- a/tests/net/test_host.py
+++ b/tests/net/test_host.py
@@ -5,14 +5,14 @@
 
 from lichencleat.net.host import Answer, Case
 from lichencleat.net.interpreter import Run
-from lichencleat.terms import Act, Decision, Inquiry, Outcome
+from lichencleat.terms import Act, Decision, Outcome, Request
 
 
 def test_the_host_tells_what_it_believes(host, case):
     assert host.beliefs() == "in hand: 1 held, 1 owed; health on, free value none"
 
 
-def test_an_inquiry_is_answered_once(host, case, answers):
+def test_a_request_is_answered_once(host, case, answers):
     host.answer(case, Answer.GIVEN_UP)
     host.answer(case, Answer.HONOURED, b"x")
     assert answers == [Answer.GIVEN_UP]
@@ -20,7 +20,7 @@
 
 def test_a_run_that_ends_by_itself_means_that_its_caller_left(host, case, answers):
     case.run = Run(ID, print, print)
-    host.node.running[case.inquiry] = None
+    host.node.running[case.request] = None
     host.run_ended(case, Outcome.STOPPED, 0, b"")
     assert answers == [Answer.GIVEN_UP] and not host.node.held and not len(host.cases)
 
@@ -28,42 +28,42 @@
 def test_a_stopped_run_goes_back_to_the_hold_where_its_answer_is_owed(host, case, answers):
     case.run = Run(ID, print, print)
     case.run.stopping = True
-    host.node.running[case.inquiry] = None
+    host.node.running[case.request] = None
     host.run_ended(case, Outcome.STOPPED, 0, b"")
-    assert not answers and case.inquiry in host.node.held
+    assert not answers and case.request in host.node.held
 
 
 def test_a_call_that_was_dropped_tells_the_decisions_nothing(host, case, place):
-    host.node.calling[case.inquiry] = None
+    host.node.calling[case.request] = None
     host.call_ended(case, place()[0], Outcome.CUT, b"")
-    assert case.inquiry in host.node.calling and not host.node.call_times
+    assert case.request in host.node.calling and not host.node.call_times
 
 
-def test_a_call_spends_its_connection_for_that_inquiry(host, case):
-    host.place_call(Decision(Act.CALL, case.inquiry, span=SECOND), case)
+def test_a_call_spends_its_connection_for_that_request(host, case):
+    host.place_call(Decision(Act.CALL, case.request, span=SECOND), case)
     assert case.spent == list(host.catalogue.links)
 
 
 def test_what_proved_not_to_have_run_leaves_its_key_to_a_repeat(host, case, answers):
-    host.receipts.read(b"k", case.inquiry)
-    host.receipts.record(0, b"k", case.inquiry, SECOND)
-    host.node.receipts[case.inquiry] = SECOND
-    case.run, case.inquiry.started = Run(ID, print, print), 1
-    host.node.running[case.inquiry] = None
+    host.receipts.read(b"k", case.request)
+    host.receipts.record(0, b"k", case.request, SECOND)
+    host.node.receipts[case.request] = SECOND
+    case.run, case.request.started = Run(ID, print, print), 1
+    host.node.running[case.request] = None
     host.run_ended(case, Outcome.UNREACHED, 0, b"")
     host.pull()
     assert answers == [Answer.GIVEN_UP] and not host.receipts.by_key
 
 
 def test_a_try_deferred_before_it_was_recorded_leaves_no_entry(host, case):
-    host.receipts.read(b"k", case.inquiry)
-    host.defer(Decision(Act.DEFER, case.inquiry), case)
-    assert not host.receipts.by_key and not host.receipts.by_inquiry
+    host.receipts.read(b"k", case.request)
+    host.defer(Decision(Act.DEFER, case.request), case)
+    assert not host.receipts.by_key and not host.receipts.by_request
 
 
-def test_an_error_with_one_inquiry_fails_that_one_alone(host, case, answers, report):
+def test_an_error_with_one_request_fails_that_one_alone(host, case, answers, report):
     host.carries_out[Act.DEFER] = lambda decision, case: 1 / 0
-    host.carry_out(Decision(Act.DEFER, case.inquiry))
+    host.carry_out(Decision(Act.DEFER, case.request))
     assert answers == [Answer.GIVEN_UP] and report.counts["node errors"] == 1
 
 
@@ -88,15 +88,15 @@
 
 
 def test_sharers_of_a_run_that_failed_are_given_up(host, receipted, answers):
-    first, second = Inquiry(receipted, 0, 0, started=1), Inquiry(receipted, 0, 0)
+    first, second = Request(receipted, 0, 0, started=1), Request(receipted, 0, 0)
     second.repeats = first
     cases = [Case(each, ID, b"", b"k", lambda *answer: answers.append(answer[0])) for each in (first, second)]
     for each in cases:
-        each.inquiry.number = host.cases.take(each)
+        each.request.number = host.cases.take(each)
     host.receipts.record(0, b"k", first, SECOND)
     host.node.running[first] = host.node.sharing[second] = None
     host.share(Decision(Act.SHARE, second), cases[1])
-    assert list(host.receipts.by_inquiry[first].sharers) == [cases[1]]
+    assert list(host.receipts.by_request[first].sharers) == [cases[1]]
     host.run_ended(cases[0], Outcome.ERRED, 0, b"")
     assert answers == [Answer.GIVEN_UP] * 2 and not len(host.cases)
 
@@ -110,8 +110,8 @@
 
 
 def test_a_sharer_whose_caller_left_waits_no_longer(host, case, receipted):
-    case.inquiry.repeats = first = Inquiry(receipted, 0, 0, started=1)
+    case.request.repeats = first = Request(receipted, 0, 0, started=1)
     host.receipts.record(0, b"k", first, SECOND)
     host.receipts.share(first, case)
     host.caller_left(case)
-    assert not host.receipts.by_inquiry[first].sharers
+    assert not host.receipts.by_request[first].sharers
--- a/tests/net/test_leaving.py
+++ b/tests/net/test_leaving.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from net_parts import CHECK, ID, INQUIRY, SECOND, Reactor, Transport
+from net_parts import CHECK, ID, REQUEST, SECOND, Reactor, Transport
 from standins import SETTINGS
 
 from lichencleat.net.assembly import RealNode
@@ -57,7 +57,7 @@
     left = node(stop_ms)
     caller = left.dispatchers.buildProtocol(None)
     caller.makeConnection(Transport())
-    caller.dataReceived(INQUIRY.replace(b"s=1,", b"s=1000000,").replace(b"$36", b"$42") % ID)
+    caller.dataReceived(REQUEST.replace(b"s=1,", b"s=1000000,").replace(b"$36", b"$42") % ID)
     assert list(caller.cases) == [7]
     left.leave()
     step(left, stop_ms + 10)
@@ -65,16 +65,16 @@
     assert caller.transport.value().count(b"\r\n7\r\n") == 1 and caller.transport.ended
 
 
-@pytest.mark.parametrize("first", ["notice", "inquiry"])
+@pytest.mark.parametrize("first", ["notice", "request"])
 def test_what_is_read_with_the_notice_is_answered_once_in_either_order(node, first):
     left = node(3200)
     caller = left.dispatchers.buildProtocol(None)
     caller.makeConnection(Transport())
-    arrives = INQUIRY.replace(b"s=1,", b"s=1000000,").replace(b"$36", b"$42") % ID
+    arrives = REQUEST.replace(b"s=1,", b"s=1000000,").replace(b"$36", b"$42") % ID
     if first == "notice":
         left.leave()
     caller.dataReceived(arrives)
-    if first == "inquiry":
+    if first == "request":
         left.leave()
     step(left, 3300)
     assert caller.transport.value().count(b"\r\n7\r\n") == 1
@@ -97,6 +97,6 @@
     caller.makeConnection(Transport())
     left.leave()
     step(left, 960)
-    caller.dataReceived(INQUIRY.replace(b"s=1,", b"s=1000900,").replace(b"$36", b"$42") % ID)
+    caller.dataReceived(REQUEST.replace(b"s=1,", b"s=1000900,").replace(b"$36", b"$42") % ID)
     step(left, 100)
     assert left.ended.called and not left.interpreter.runs
--- a/tests/net_parts.py
+++ b/tests/net_parts.py
@@ -5,7 +5,7 @@
 
 SECOND = 1_000_000
 ID = b"00000000000000a1"
-INQUIRY = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$4\r\nlook\r\n$36\r\ni=%s,s=1,f=1,m=9,p=0.5\r\n$1\r\nx\r\n"
+REQUEST = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$4\r\nlook\r\n$36\r\ni=%s,s=1,f=1,m=9,p=0.5\r\n$1\r\nx\r\n"
 CHECK = b"*3\r\n$6\r\nHEALTH\r\n$1\r\n9\r\n$0\r\n\r\n"
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -242,8 +242,8 @@
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(each), each) for each in words)
 
 
-def inquiry(tag, tariff, ident, body, **fields):
-    """An inquiry as dispatchers write it, come to the machine just now."""
+def request(tag, tariff, ident, body, **fields):
+    """A request as dispatchers write it, come to the machine just now."""
     said = {"i": ident, "s": time.time_ns() // 1_000_000, "f": 1, "m": "24.5", "p": "0.5", **fields}
     text = ",".join(f"{name}={value}" for name, value in said.items())
     return array(b"REQ", b"%d" % tag, tariff, text.encode(), body)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -29,7 +29,7 @@
     return json.loads(wire.answer(line))
 
 
-def test_a_read_inquiry_is_run_and_a_wake_up_asked_for(wire):
+def test_a_read_request_is_run_and_a_wake_up_asked_for(wire):
     reply = batch(wire, START, READ)
     assert reply["turn"] == 1 and reply["nodes"][0]["who"] == 0
     assert ["admit", "00000000000000a1"] in reply["nodes"][0]["outbox"]
@@ -94,6 +94,6 @@
     assert [len(each) for each in wire.instances[1].node.run_times.values()] == [0]
     assert wire.instances[1].node.receipts and not wire.instances[0].node.receipts
     batch(wire, ["exit"], ["openInstance", 5, other], who=1, turn=3)
-    assert not wire.instances[1].node.receipts and not list(wire.instances[1].inquiries)
+    assert not wire.instances[1].node.receipts and not list(wire.instances[1].requests)
     outbox = batch(wire, again, who=1, turn=4)["nodes"][0]["outbox"]
     assert not [each for each in outbox if each[0] == "admit"]  # it repeats one that this life does not know
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lichencleat.decide import PERIOD, Node
-from lichencleat.terms import Act, Below, Effect, Gauges, Inquiry, Machine, Outcome, Tariff, Told
+from lichencleat.terms import Act, Below, Effect, Gauges, Machine, Outcome, Request, Tariff, Told
 
 SECOND = 1_000_000
 LOOK = Tariff("look", soft_limit=2 * SECOND, hard_limit=5 * SECOND, calls=True)
@@ -55,7 +55,7 @@
     """Each has its part of a full load for a warm node, and sends what the free value lets it."""
     node, rng = cold(told=told, callers=callers), random.Random(callers)
     value = next(each.amount for each in pulled(node, 0) if each.act is Act.TELL)
-    full = 10.0  # inquiries that a warm node can begin in the time of one run, with its crowd of 6 a core
+    full = 10.0  # requests that a warm node can begin in the time of one run, with its crowd of 6 a core
     lots = [rng.random() for _ in range(callers) for _ in range(round(full / callers * 100))]
     sent = sum(lot >= value if told is Told.LEVEL else lot < value for lot in lots) / 100
     assert sent <= allowed(full * 0.24) and sent > 0
@@ -67,7 +67,7 @@
     pulled(node, 0)
     node.memory_kb = 0.0  # as good a reason as any to turn away all
     for caller in range(callers):
-        node.arrives(0, Inquiry(LOOK, 0, 5 * SECOND, caller=caller, size_kb=20))
+        node.arrives(0, Request(LOOK, 0, 5 * SECOND, caller=caller, size_kb=20))
     back = [each.span for each in pulled(node, 0) if each.act is Act.DEFER]
     assert len(back) == callers and all(0 < span <= SECOND for span in back)
     together = max(sum(start <= span < start + PERIOD for span in back) for start in back)
@@ -85,22 +85,22 @@
     for now in range(0, 15 * SECOND, PERIOD // 2):
         for call in [each for each in out if each[0] <= now]:
             out.remove(call)
-            _, node, inquiry, took = call
+            _, node, request, took = call
             answered = took == answers_after
-            node.call_ended(now, inquiry, Outcome.COMPLETED if answered else Outcome.OVERDUE, took)
-            node.run_ended(now, inquiry, Outcome.COMPLETED, took)
+            node.call_ended(now, request, Outcome.COMPLETED if answered else Outcome.OVERDUE, took)
+            node.run_ended(now, request, Outcome.COMPLETED, took)
         for node in nodes:
             for _ in range(4 - len(node.asking)):
-                inquiry = Inquiry(LOOK, now, now + 5 * SECOND, started=now, size_kb=20)
-                node.wants_call(now, inquiry)
+                request = Request(LOOK, now, now + 5 * SECOND, started=now, size_kb=20)
+                node.wants_call(now, request)
             node.wakes(now, Gauges())
             for decision in pulled(node, now):
                 if decision.act is Act.CALL:
                     took = min(decision.span, answers_after)
-                    out.append((now + took, node, decision.inquiry, took))
+                    out.append((now + took, node, decision.request, took))
                 elif decision.act is Act.GIVE_UP:
-                    out = [each for each in out if each[2] is not decision.inquiry]
-                    node.run_ended(now, decision.inquiry, Outcome.STOPPED, 0)
+                    out = [each for each in out if each[2] is not decision.request]
+                    node.run_ended(now, decision.request, Outcome.STOPPED, 0)
         held.append(len(out))
     ticks = span // (PERIOD // 2)
     means = [sum(held[at : at + ticks]) / ticks for at in range(len(held) - ticks)]
@@ -109,18 +109,18 @@
 
 def test_a_storm_of_repeats_stays_within_the_memory_and_each_is_answered_once():
     node = Node(Machine(cores=2, memory_kb=10_000.0, run_factor=16, tariffs=[SAVE]), random.Random(1))
-    first = Inquiry(SAVE, 0, 5 * SECOND, size_kb=20)
+    first = Request(SAVE, 0, 5 * SECOND, size_kb=20)
     node.arrives(0, first)
     assert Act.START in [each.act for each in pulled(node, 0)]
     answered = set()
     for number in range(40):
-        lot = [Inquiry(SAVE, 1, 5 * SECOND, repeats=first, size_kb=20) for _ in range(20)]
+        lot = [Request(SAVE, 1, 5 * SECOND, repeats=first, size_kb=20) for _ in range(20)]
         for each in lot:
             node.arrives(number * 1000, each)
         for decision in pulled(node, number * 1000):
             assert decision.act not in (Act.START, Act.DEFER)  # it runs already: neither again, nor refused
             if decision.act is Act.GIVE_UP:
-                assert decision.inquiry not in answered
-                answered.add(decision.inquiry)
+                assert decision.request not in answered
+                answered.add(decision.request)
         assert node.used_kb() <= 10_000
     assert 0 < len(answered) < 800
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,7 @@
 import sys
 
 import pytest
-from standins import PATIENCE, ROOT, SETTINGS, Program, array, inquiry, listener, where
+from standins import PATIENCE, ROOT, SETTINGS, Program, array, listener, request, where
 
 A = "00000000000000a1"
 CHECK = array(b"HEALTH", b"9", b"")
@@ -60,7 +60,7 @@
 def test_work_in_hand_is_answered_on_a_connection_that_goes_on_sending_what_cannot_be_read(started):
     program = started()
     peer = program.ready()
-    peer.send(inquiry(7, b"look", A, b"x"))
+    peer.send(request(7, b"look", A, b"x"))
     assert program.interpreter.next()[0][0] == b"APPLY"
     peer.send(b"?\r\n" * 10_000)
     program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"made")
@@ -68,38 +68,38 @@
     assert peer.array() is None
 
 
-def test_an_inquiry_that_crosses_goaway_before_the_end_is_served(started):
+def test_a_request_that_crosses_goaway_before_the_end_is_served(started):
     program = started(settings=idle_after(0.2))
     peer = program.ready()
-    peer.send(inquiry(7, b"look", A, b"x"))
+    peer.send(request(7, b"look", A, b"x"))
     program.interpreter.next()
     program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"made")
     assert peer.array()[1] == b"200"
     assert peer.array() == [b"0", b"goaway"]
-    peer.send(inquiry(8, b"look", "00000000000000b2", b"y"))
+    peer.send(request(8, b"look", "00000000000000b2", b"y"))
     program.interpreter.next()
     program.interpreter.notice(b"VALUE 00000000000000b2 PASS 5", b"more")
     assert peer.array()[:2] == [b"8", b"200"]
     assert peer.array() is None
 
 
-def test_an_inquiry_that_crosses_the_end_is_never_run_and_resets_nothing(started):
+def test_a_request_that_crosses_the_end_is_never_run_and_resets_nothing(started):
     program = started(settings=idle_after(0.2))
     peer = program.ready()
-    peer.send(inquiry(7, b"look", A, b"x"))
+    peer.send(request(7, b"look", A, b"x"))
     program.interpreter.next()
     program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"made")
     assert peer.array()[1] == b"200"
     assert peer.array() == [b"0", b"goaway"]
     assert peer.array() is None  # its side has ended
-    peer.send(inquiry(8, b"look", "00000000000000b2", b"y"))
+    peer.send(request(8, b"look", "00000000000000b2", b"y"))
     peer.sock.shutdown(socket.SHUT_WR)
     other = program.dispatcher()
     other.send(CHECK)
     assert other.array()[1] == b"serving"
     program.leave()
     code, counters, _ = program.end()
-    assert code == 0 and counters["dispatchers got inquiries"] == 1
+    assert code == 0 and counters["dispatchers got requests"] == 1
     assert (
         counters["dispatchers bytes dropped"] > 0 and "dispatchers lost with their connection" not in counters
     )
@@ -145,19 +145,19 @@
         peer.send(CHECK)
         assert peer.array()[0] == b"9"
         program.leave()
-        peer.send(inquiry(7, b"look", A, b"x"))
+        peer.send(request(7, b"look", A, b"x"))
         answers = [peer.array() for _ in range(2)]
         assert [each[:2] for each in answers if each[0] == b"7"] == [[b"7", b"500"]]
         assert peer.array() is None
         peer.close()
         code, counters, _ = program.end()
-    assert code == 0 and counters["host inquiries"] == 1
+    assert code == 0 and counters["host requests"] == 1
 
 
 def test_a_second_notice_and_one_in_the_middle_of_a_reload_change_nothing(started):
     program = started()
     peer = program.ready()
-    peer.send(inquiry(7, b"look", A, b"x"))
+    peer.send(request(7, b"look", A, b"x"))
     assert program.interpreter.next()[0][0] == b"APPLY"
     halt(program)
     program.told["stop_ms"] = 2500
@@ -185,7 +185,7 @@
     checker.send(CHECK)
     assert checker.array()[1] == b"serving"
     caller = program.dispatcher()
-    caller.send(inquiry(7, b"look", A, b"x"))
+    caller.send(request(7, b"look", A, b"x"))
     assert program.interpreter.next()[0][0] == b"APPLY"  # the link is what it was
     program.interpreter.notice(b"AWAIT %s" % A.encode(), b"ask")
     answering, words, _ = program.catalogue.next()  # and a call finds a descriptor
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lichencleat.decide import GAIN, Node
-from lichencleat.terms import Act, Below, Effect, Gauges, Inquiry, Machine, Outcome, State, Tariff
+from lichencleat.terms import Act, Below, Effect, Gauges, Machine, Outcome, Request, State, Tariff
 
 SECOND = 1_000_000
 
@@ -19,11 +19,11 @@
 
 
 def test_running_work_is_answered_before_it_is_due(node, tariff):
-    late = Inquiry(tariff, arrived=0, due=SECOND)
+    late = Request(tariff, arrived=0, due=SECOND)
     node.running[late] = None
     assert not list(node.answer_due(SECOND // 2))
     decision = next(node.answer_due(SECOND - 50_000))
-    assert decision.act is Act.GIVE_UP and decision.inquiry is late
+    assert decision.act is Act.GIVE_UP and decision.request is late
 
 
 @pytest.fixture
@@ -31,14 +31,14 @@
     return Tariff("booked", Effect.RECEIPTED, soft_limit=2 * SECOND, hard_limit=5 * SECOND, window=9 * SECOND)
 
 
-def test_a_receipted_inquiry_in_the_hold_is_recorded_however_it_came_there(node, receipted):
-    node.held[Inquiry(receipted, arrived=0, due=5 * SECOND)] = None
+def test_a_receipted_request_in_the_hold_is_recorded_however_it_came_there(node, receipted):
+    node.held[Request(receipted, arrived=0, due=5 * SECOND)] = None
     assert next(node.review_held(0)).act is Act.RECORD
 
 
 def test_a_node_that_honours_nothing_in_time_is_sick_even_with_a_stepped_back_limit(node, tariff):
     node.limit, node.longest_soft_limit = 1.0, 2 * SECOND
-    node.running[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    node.running[Request(tariff, arrived=0, due=9 * SECOND, started=0)] = None
     node.progress_at = 2 * SECOND
     assert not node.sick(2 * SECOND)
     assert node.sick(2 * SECOND + 1)
@@ -64,12 +64,12 @@
 
 
 def test_a_stalled_node_gives_up_pure_runs_so_that_others_may_try(node, tariff, receipted):
-    pure = Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)
-    booked = Inquiry(receipted, arrived=0, due=9 * SECOND, started=0)
+    pure = Request(tariff, arrived=0, due=9 * SECOND, started=0)
+    booked = Request(receipted, arrived=0, due=9 * SECOND, started=0)
     node.running.update({booked: None, pure: None})
     assert not list(node.answer_due(SECOND // 2))
     decision = next(node.answer_due(3 * SECOND))
-    assert decision.act is Act.GIVE_UP and decision.inquiry is pure
+    assert decision.act is Act.GIVE_UP and decision.request is pure
     assert not list(node.answer_due(3 * SECOND))
 
 
@@ -84,12 +84,12 @@
 
 def test_a_run_that_can_earn_nothing_makes_way_only_while_work_waits(node, tariff):
     node.can_stop = True
-    late = Inquiry(tariff, arrived=0, due=5 * SECOND, started=0)
+    late = Request(tariff, arrived=0, due=5 * SECOND, started=0)
     node.running[late] = None
     assert not list(node.answer_due(3 * SECOND))
-    node.held[Inquiry(tariff, arrived=3 * SECOND, due=8 * SECOND)] = None
+    node.held[Request(tariff, arrived=3 * SECOND, due=8 * SECOND)] = None
     decision = next(node.answer_due(3 * SECOND))
-    assert decision.act is Act.DEFER and decision.inquiry is late
+    assert decision.act is Act.DEFER and decision.request is late
     assert next(node.stop_unwanted(3 * SECOND)).act is Act.STOP
 
 
@@ -101,22 +101,22 @@
 
 def test_a_few_failed_calls_do_not_cut_the_bound_and_most_failed_do(caller, tariff):
     for at in range(8):
-        call = Inquiry(tariff, arrived=0, due=5 * SECOND)
+        call = Request(tariff, arrived=0, due=5 * SECOND)
         caller.calling[call] = None
         caller.call_ended(at * SECOND, call, Outcome.OVERDUE if at in (1, 5) else Outcome.COMPLETED, 100)
     before = caller.calls_most
     for at in range(8, 12):
-        call = Inquiry(tariff, arrived=0, due=5 * SECOND)
+        call = Request(tariff, arrived=0, due=5 * SECOND)
         caller.calling[call] = None
         caller.call_ended(at * SECOND, call, Outcome.TURNED_AWAY, 100)
     assert caller.calls_most < before and before >= 2
 
 
-def test_a_call_that_may_have_run_is_repeated_for_a_pure_inquiry_only(caller, tariff, receipted):
+def test_a_call_that_may_have_run_is_repeated_for_a_pure_request_only(caller, tariff, receipted):
     for one, act in ((tariff, Act.CALL), (receipted, Act.GIVE_UP)):
-        inquiry = Inquiry(one, arrived=0, due=5 * SECOND, started=0)
-        caller.calling[inquiry] = None
-        caller.call_ended(0, inquiry, Outcome.OVERDUE, SECOND)
+        request = Request(one, arrived=0, due=5 * SECOND, started=0)
+        caller.calling[request] = None
+        caller.call_ended(0, request, Outcome.OVERDUE, SECOND)
         assert next(caller.let_out_calls(SECOND)).act is act
 
 
@@ -124,41 +124,41 @@
     caller.call_times.extend([(100_000, True)] * 8 + [(9 * SECOND, False)] * 8)
     for one, longest in ((tariff, SECOND), (receipted, 5 * SECOND)):
         caller.asking.clear()
-        caller.asking[Inquiry(one, arrived=0, due=5 * SECOND, started=0)] = None
+        caller.asking[Request(one, arrived=0, due=5 * SECOND, started=0)] = None
         assert 0 < next(caller.let_out_calls(0)).span <= longest
 
 
 def test_a_receipted_run_whose_caller_left_goes_on_for_its_repeat(node, tariff, receipted):
     node.can_stop = True
-    kept = Inquiry(receipted, arrived=0, due=5 * SECOND, started=0, answered=True)
-    dropped = Inquiry(tariff, arrived=0, due=5 * SECOND, started=0, answered=True)
+    kept = Request(receipted, arrived=0, due=5 * SECOND, started=0, answered=True)
+    dropped = Request(tariff, arrived=0, due=5 * SECOND, started=0, answered=True)
     node.running.update({kept: None, dropped: None})
     node.to_stop.update({kept: None, dropped: None})
-    assert next(node.stop_unwanted(SECOND)).inquiry is dropped
+    assert next(node.stop_unwanted(SECOND)).request is dropped
     assert not list(node.stop_unwanted(SECOND))
 
 
 def test_two_repeats_of_one_deferred_try_get_one_run(node, receipted):
-    first = Inquiry(receipted, arrived=0, due=5 * SECOND, state=State.ENDED)
-    again = [Inquiry(receipted, arrived=SECOND, due=6 * SECOND, repeats=first) for _ in range(2)]
+    first = Request(receipted, arrived=0, due=5 * SECOND, state=State.ENDED)
+    again = [Request(receipted, arrived=SECOND, due=6 * SECOND, repeats=first) for _ in range(2)]
     node.held.update(dict.fromkeys(again))
     assert next(node.review_held(SECOND)).act is Act.RECORD
-    assert next(node.start_held(SECOND)).inquiry is again[0]
+    assert next(node.start_held(SECOND)).request is again[0]
     assert not list(node.start_held(SECOND))
     shared = next(node.review_held(SECOND))
-    assert shared.act is Act.SHARE and shared.inquiry is again[1]
+    assert shared.act is Act.SHARE and shared.request is again[1]
 
 
 def test_a_repeat_of_a_run_that_came_to_nothing_is_neither_run_nor_deferred(node, receipted):
-    first = Inquiry(receipted, arrived=0, due=5 * SECOND, state=State.ENDED, started=0)
-    node.held[Inquiry(receipted, arrived=SECOND, due=6 * SECOND, repeats=first)] = None
+    first = Request(receipted, arrived=0, due=5 * SECOND, state=State.ENDED, started=0)
+    node.held[Request(receipted, arrived=SECOND, due=6 * SECOND, repeats=first)] = None
     assert next(node.review_held(SECOND)).act is Act.GIVE_UP
 
 
 def test_the_entry_of_a_try_that_never_ran_is_struck(node, receipted):
-    node.receipts[Inquiry(receipted, arrived=0, due=SECOND, state=State.ENDED, started=0)] = 9 * SECOND
+    node.receipts[Request(receipted, arrived=0, due=SECOND, state=State.ENDED, started=0)] = 9 * SECOND
     assert not list(node.strike_unrun())
-    unrun = Inquiry(receipted, arrived=0, due=SECOND)
+    unrun = Request(receipted, arrived=0, due=SECOND)
     node.receipts[unrun] = 9 * SECOND
     node.give_up(unrun)
     assert [each.act for each in node.strike_unrun()] == [Act.STRIKE] and not node.unrun
@@ -166,7 +166,7 @@
 
 def test_the_cap_moves_by_the_gain_times_the_error_within_its_bounds(node, tariff):
     node.cap, node.reference = 7.0, 2.0
-    node.held.update((Inquiry(tariff, arrived=0, due=9 * SECOND), None) for _ in range(6))
+    node.held.update((Request(tariff, arrived=0, due=9 * SECOND), None) for _ in range(6))
     node.sample(0)
     assert node.cap == pytest.approx(7.0 + GAIN * (2 - 6))
     node.cap = -50.0  # wound down by long pressure
@@ -178,8 +178,8 @@
 
 
 def test_the_running_limit_climbs_while_cores_idle_and_steps_back_when_crowded(node, tariff):
-    node.held[Inquiry(tariff, arrived=0, due=9 * SECOND)] = None
-    node.running.update((Inquiry(tariff, arrived=0, due=9 * SECOND), None) for _ in range(2))
+    node.held[Request(tariff, arrived=0, due=9 * SECOND)] = None
+    node.running.update((Request(tariff, arrived=0, due=9 * SECOND), None) for _ in range(2))
     node.gauges = Gauges(wanting_core=1.0)
     node.sample(0)
     assert node.limit > 2
@@ -190,24 +190,24 @@
 
 
 def test_an_arrival_at_the_cap_is_deferred_at_once_unless_it_earns_more_than_one_held(node, tariff):
-    plain = [Inquiry(tariff, arrived=0, due=9 * SECOND) for _ in range(5)]
+    plain = [Request(tariff, arrived=0, due=9 * SECOND) for _ in range(5)]
     node.running.update(dict.fromkeys(plain[:2]))
     node.held.update(dict.fromkeys(plain[2:4]))
     node.cap = 4.0
     node.new[plain[4]] = None
-    assert next(node.judge_new(0)).inquiry is plain[4]
-    better = Inquiry(
+    assert next(node.judge_new(0)).request is plain[4]
+    better = Request(
         Tariff("better", soft_limit=SECOND, hard_limit=SECOND, payoff=2.0), arrived=0, due=SECOND
     )
     node.new[better] = None
     decisions = list(node.judge_new(0))
-    assert [each.act for each in decisions] == [Act.DEFER] and decisions[0].inquiry in plain[2:4]
+    assert [each.act for each in decisions] == [Act.DEFER] and decisions[0].request in plain[2:4]
     assert better in node.held
 
 
 def test_nothing_begins_without_memory_for_it(node, tariff):
     node.memory_kb = 1000.0
-    node.held[Inquiry(tariff, arrived=0, due=9 * SECOND, size_kb=200.0)] = None
+    node.held[Request(tariff, arrived=0, due=9 * SECOND, size_kb=200.0)] = None
     assert not list(node.start_held(0))
     node.memory_kb = 2000.0
     assert next(node.start_held(0)).act is Act.START
@@ -223,15 +223,15 @@
 
 def test_a_leaving_node_runs_nothing_late_and_answers_all_before_the_stop(node, tariff):
     node.grace = SECOND
-    early = Inquiry(tariff, arrived=SECOND, due=9 * SECOND)
-    late = Inquiry(tariff, arrived=SECOND + 1, due=9 * SECOND)
-    running = Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)
+    early = Request(tariff, arrived=SECOND, due=9 * SECOND)
+    late = Request(tariff, arrived=SECOND + 1, due=9 * SECOND)
+    running = Request(tariff, arrived=0, due=9 * SECOND, started=0)
     node.running[running] = None
     node.must_leave(0, 4 * SECOND)
     node.new.update({early: None, late: None})
     deferred = list(node.judge_new(SECOND + 1))
-    assert [each.inquiry for each in deferred] == [late] and early in node.held
-    answered = [each.inquiry for each in node.answer_due(4 * SECOND - 200_000)]
+    assert [each.request for each in deferred] == [late] and early in node.held
+    answered = [each.request for each in node.answer_due(4 * SECOND - 200_000)]
     assert answered == [running, early]
 
 
@@ -239,7 +239,7 @@
     tariff.soft_limit = 9 * SECOND
     machine = Machine(below=Below.SHARED, calls_share=0.5, calls_span=5 * SECOND)
     node = Node(machine, random.Random(1))
-    node.asking[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    node.asking[Request(tariff, arrived=0, due=9 * SECOND, started=0)] = None
     assert next(node.let_out_calls(0)).span <= 2.5 * SECOND
     call = next(iter(node.calling))
     node.call_ended(SECOND, call, Outcome.COMPLETED, SECOND)
@@ -267,19 +267,19 @@
 
 
 def test_a_node_too_slow_for_the_soft_limit_sends_on_and_tries_one_at_a_time(node, tariff):
-    inquiry = Inquiry(tariff, arrived=0, due=9 * SECOND)
-    assert node.defer(0, inquiry).flag
+    request = Request(tariff, arrived=0, due=9 * SECOND)
+    assert node.defer(0, request).flag
     node.run_times[tariff] = [3 * SECOND] * 4
-    assert not node.defer(0, inquiry).flag
-    assert not node.too_late(0, inquiry)
-    node.running[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
-    assert node.too_late(0, inquiry)
+    assert not node.defer(0, request).flag
+    assert not node.too_late(0, request)
+    node.running[Request(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    assert node.too_late(0, request)
 
 
 def test_work_that_would_end_too_late_is_not_begun(node, tariff):
     tariff_runs = node.run_times.setdefault(tariff, [SECOND] * 4)
-    node.running.update((Inquiry(tariff, arrived=0, due=9 * SECOND, started=0), None) for _ in range(2))
-    waiting = Inquiry(tariff, arrived=0, due=9 * SECOND)
+    node.running.update((Request(tariff, arrived=0, due=9 * SECOND, started=0), None) for _ in range(2))
+    waiting = Request(tariff, arrived=0, due=9 * SECOND)
     assert not node.too_late(SECOND - 1, waiting)
     assert node.too_late(SECOND + 1, waiting)
     node.running.popitem()
@@ -289,8 +289,8 @@
 def test_a_call_stuck_at_a_lost_node_leaves_the_bound_to_others(caller, tariff, receipted):
     caller.call_times.extend([(100_000, True)] * 8)
     caller.calls_most = 1.0
-    caller.calling[Inquiry(receipted, arrived=0, due=9 * SECOND, started=0, called_at=0)] = None
-    caller.asking[Inquiry(tariff, arrived=0, due=9 * SECOND, started=0)] = None
+    caller.calling[Request(receipted, arrived=0, due=9 * SECOND, started=0, called_at=0)] = None
+    caller.asking[Request(tariff, arrived=0, due=9 * SECOND, started=0)] = None
     assert not list(caller.let_out_calls(100_000))
     assert next(caller.let_out_calls(SECOND)).act is Act.CALL
 
@@ -299,9 +299,9 @@
     poorer = Tariff("poorer", soft_limit=2 * SECOND, hard_limit=5 * SECOND, payoff_without_call=0.5)
     node = Node(Machine(below=Below.SHARED, calls_share=2.0, tariffs=[tariff]), random.Random(1))
     node.call_times.extend([(SECOND, True)] * 8)
-    pure, first, second = (Inquiry(each, arrived=0, due=5 * SECOND) for each in (tariff, poorer, poorer))
+    pure, first, second = (Request(each, arrived=0, due=5 * SECOND) for each in (tariff, poorer, poorer))
     node.asking.update(dict.fromkeys((second, first, pure)))
-    decided = [(each.act, each.inquiry) for each in node.let_out_calls(0)]
+    decided = [(each.act, each.request) for each in node.let_out_calls(0)]
     assert decided == [(Act.CALL, pure), (Act.OMIT_CALL, second), (Act.OMIT_CALL, first)]
 
 
@@ -309,9 +309,9 @@
     node.shortest_soft_limit = 2 * SECOND
     node.sample(0)
     assert node.reference == 2.0
-    for inquiry in (Inquiry(tariff, arrived=0, due=9 * SECOND) for _ in range(4)):
-        node.running[inquiry] = None
-        node.run_ended(0, inquiry, Outcome.COMPLETED, SECOND)
+    for request in (Request(tariff, arrived=0, due=9 * SECOND) for _ in range(4)):
+        node.running[request] = None
+        node.run_ended(0, request, Outcome.COMPLETED, SECOND)
     node.sample(SECOND)
     assert node.reference == 1.0
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,7 +10,7 @@
 import tomllib
 
 import pytest
-from standins import PATIENCE, ROOT, Program, array, inquiry
+from standins import PATIENCE, ROOT, Program, array, request
 
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
 KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
@@ -34,11 +34,11 @@
     answered = sum(
         counters.get(f"host {how}", 0) for how in ("honoured", "deferred", "given up", "abandoned")
     )
-    return counters["host inquiries"] == answered and not counters.get("node errors")
+    return counters["host requests"] == answered and not counters.get("node errors")
 
 
-def test_an_inquiry_is_honoured_with_a_call_and_the_counters_add_up(program, peer):
-    peer.send(inquiry(7, b"look", A, b"what\r\n is"))
+def test_a_request_is_honoured_with_a_call_and_the_counters_add_up(program, peer):
+    peer.send(request(7, b"look", A, b"what\r\n is"))
     assert program.interpreter.next() == ([b"APPLY", A.encode(), b"look", b"9"], b"what\r\n is")
     program.interpreter.notice(b"AWAIT " + A.encode(), b"a call\r\n")
     caller, words, body = program.catalogue.next()
@@ -53,16 +53,16 @@
     peer.close()
     code, counters, _ = program.end()
     assert code == 0 and adds_up(counters)
-    assert counters["host honoured"] == counters["dispatchers got inquiries"] == 1
+    assert counters["host honoured"] == counters["dispatchers got requests"] == 1
     assert counters["catalogue sent FETCH"] == counters["interpreter got AWAIT"] == 1
 
 
-def test_repeats_of_a_receipted_inquiry_share_its_one_run(program, peer):
-    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"save", B, b"x", k=KEY))
+def test_repeats_of_a_receipted_request_share_its_one_run(program, peer):
+    peer.send(request(1, b"save", A, b"x", k=KEY) + request(2, b"save", B, b"x", k=KEY))
     assert program.interpreter.next()[0][:2] == [b"APPLY", A.encode()]
     program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"saved")
     answers = sorted(peer.array() for _ in range(2))
-    peer.send(inquiry(3, b"save", C, b"x", k=KEY))
+    peer.send(request(3, b"save", C, b"x", k=KEY))
     answers.append(peer.array())
     assert [(each[0], each[1], each[3]) for each in answers] == [
         (tag, b"200", b"saved") for tag in (b"1", b"2", b"3")
@@ -71,24 +71,24 @@
 
 
 def test_a_result_is_kept_for_a_repeat_though_its_own_caller_left(program, peer):
-    peer.send(inquiry(1, b"save", A, b"x", k=KEY))
+    peer.send(request(1, b"save", A, b"x", k=KEY))
     program.interpreter.next()
     peer.send(array(b"ABORT", b"1") + array(b"HEALTH", b"3", b""))
     assert peer.array()[0] == b"3"  # so the abort was read
     program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"saved")
-    peer.send(inquiry(2, b"save", B, b"x", k=KEY))
+    peer.send(request(2, b"save", B, b"x", k=KEY))
     assert peer.array()[:2] == [b"2", b"200"]
 
 
 def test_what_arrives_too_late_is_deferred_with_its_fields_and_its_tag_ends(program, peer):
-    peer.send(inquiry(4, b"look", A, b"x", s=time.time_ns() // 1_000_000 - 7_000))
+    peer.send(request(4, b"look", A, b"x", s=time.time_ns() // 1_000_000 - 7_000))
     tag, word, fields, _ = peer.array()
     assert (tag, word) == (b"4", b"503") and b"w=" in fields and b"v=" in fields
     assert program.interpreter.commands.empty()
 
 
 def test_an_abort_stops_the_run_and_is_owed_no_answer(program, peer):
-    peer.send(inquiry(1, b"look", A, b"x"))
+    peer.send(request(1, b"look", A, b"x"))
     program.interpreter.next()
     peer.send(array(b"ABORT", b"1"))
     assert program.interpreter.next()[0] == [b"BREAK", A.encode()]
@@ -104,7 +104,7 @@
 
 def test_a_lost_connection_abandons_all_that_is_open_on_it(program, peer):
     other = program.dispatcher()
-    other.send(inquiry(1, b"look", A, b"x"))
+    other.send(request(1, b"look", A, b"x"))
     program.interpreter.next()
     other.close()
     assert program.interpreter.next()[0] == [b"BREAK", A.encode()]
@@ -113,7 +113,7 @@
 
 
 def test_a_lost_link_is_renewed_and_neither_a_notice_nor_a_run_is_lost_or_doubled(program, peer):
-    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"look", B, b"y"))
+    peer.send(request(1, b"save", A, b"x", k=KEY) + request(2, b"look", B, b"y"))
     program.interpreter.next(), program.interpreter.next()
     program.interpreter.cut()
     program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"saved")
@@ -125,7 +125,7 @@
 
 
 def test_sigterm_under_work_answers_all_that_was_read_and_ends_before_the_stop(program, peer):
-    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"look", B, b"y"))
+    peer.send(request(1, b"save", A, b"x", k=KEY) + request(2, b"look", B, b"y"))
     program.interpreter.next(), program.interpreter.next()
     program.leave()
     while program.members.recv(100) != b"HB n1 OUT":
@@ -152,12 +152,12 @@
     "bad",
     [
         array(b"NONSENSE", b"9", b"x"),
-        inquiry(9, b"unheard-of", A, b"x"),
-        inquiry(9, b"look", "short", b"x"),
-        inquiry(9, b"look", A, b"x", m="nan"),
-        inquiry(9, b"look", A, b"x", s="soon"),
-        inquiry(9, b"save", A, b"x"),
-        inquiry(9, b"look", A, b"x" * 2049),
+        request(9, b"unheard-of", A, b"x"),
+        request(9, b"look", "short", b"x"),
+        request(9, b"look", A, b"x", m="nan"),
+        request(9, b"look", A, b"x", s="soon"),
+        request(9, b"save", A, b"x"),
+        request(9, b"look", A, b"x" * 2049),
         array(b"REQ", b"9", b"look"),
     ],
 )
@@ -172,7 +172,7 @@
 )
 def test_broken_framing_ends_its_connection_after_its_answers_and_disturbs_no_other(program, peer, broken):
     other = program.dispatcher()
-    other.send(inquiry(1, b"look", A, b"x"))
+    other.send(request(1, b"look", A, b"x"))
     program.interpreter.next()
     other.send(broken)
     peer.send(array(b"HEALTH", b"1", b""))
@@ -183,7 +183,7 @@
 
 
 def test_unknown_notices_are_passed_over(program, peer):
-    peer.send(inquiry(1, b"look", A, b"x"))
+    peer.send(request(1, b"look", A, b"x"))
     program.interpreter.next()
     program.interpreter.peer.send(b"NOVELTY 1 2\r\n\r\nVALUE x\r\nVALUE 1 %s ODD 5 0\r\n\r\n" % A.encode())
     program.interpreter.notices.append(b"")
@@ -192,7 +192,7 @@
 
 
 def test_a_new_configuration_moves_all_that_goes_out_and_loses_nothing(program, peer):
-    peer.send(inquiry(1, b"save", A, b"x", k=KEY) + inquiry(2, b"look", B, b"y"))
+    peer.send(request(1, b"save", A, b"x", k=KEY) + request(2, b"look", B, b"y"))
     program.interpreter.next(), program.interpreter.next()
     old, old_catalogue, old_members = program.interpreter, program.catalogue, program.members
     old.notice(b"AWAIT " + A.encode(), b"a call")
