Settings: every figure is checked where it is read; what is none is one line

Need: unreadable input from the configuration ends in one line. Seen by a probe that put 16 odd values (nan, 1e308, a list, -1 and the like) in each of the 63 places of a configuration: in 16 places read_told took what the decisions can't use (machine.py passed values on as they came) or raised something else than its one line; a memory of 'x' gave a node that answers checks and never decides, a reload with it an error in the reactor.

--- a/lichencleat/machine.py
+++ b/lichencleat/machine.py
@@ -18,6 +18,9 @@
 }
 
 
+AMOUNT_MOST = 1e12  # of any figure: more than the seconds, kilobytes or calls of any machine
+
+
 class BadInputError(Exception):
     """A line that is not what the wire allows; its text says what and where."""
 
@@ -26,56 +29,88 @@
     return round((seconds or 0) * 1_000_000)
 
 
+def amount(told: dict, key: str, where: str) -> float:
+    """A figure of the settings, 0 where it is not told. Guards the decisions against what is no figure.
+
+    Raises BadInputError for one that is no number, below 0, or beyond any machine.
+    """
+    value = told.get(key)
+    if value is None:
+        return 0
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value <= AMOUNT_MOST:
+        raise BadInputError(f"{where}.{key}: no figure from 0 to {AMOUNT_MOST:.0e}: {value!r:.60}")
+    return value
+
+
+def part(told: dict, key: str, kind: type, where: str) -> Any:
+    """A part of the settings, empty where it is not told. Raises BadInputError for one of another kind."""
+    value = told.get(key)
+    if value is not None and not isinstance(value, kind):
+        raise BadInputError(f"{where}{key}: no {kind.__name__}: {value!r:.60}")
+    return kind() if value is None else value
+
+
 def choose(table: dict[str, Any], name: Any, default: Any, where: str) -> Any:
     if name is None:
         return default
-    if name not in table:
-        raise BadInputError(f"{where}: unknown value {name!r}")
+    if not isinstance(name, str) or name not in table:
+        raise BadInputError(f"{where}: unknown value {name!r:.60}")
     return table[name]
 
 
 def decode_machine(told: dict) -> Machine:
     """The machine as the settings tell it; keys that are not known here are passed over."""
-    own = told.get("specifics") or {}
-    rules = told.get("invariants") or {}
-    allowed = told.get("allowed") or {}
-    calls, without = own.get("classCalls") or [], own.get("classSkipWorth") or []
-    tariffs = [
-        Tariff(
-            name=each["name"],
-            effect=choose(EFFECTS, each.get("effect"), Effect.PURE, "classes[].effect"),
-            soft_limit=micros(each.get("aim") or each.get("deadline")),
-            hard_limit=micros(each.get("deadline")),
-            payoff=each.get("worth") or 0.0,
-            late_payoff=each.get("lateWorth") or 0.0,
-            stretch=each.get("aimStretch") or 0.0,
-            window=micros(each.get("window")),
-            calls=bool(calls[at]) if at < len(calls) else False,
-            payoff_without_call=(without[at] or 0.0) if at < len(without) else 0.0,
+    own, rules = part(told, "specifics", dict, ""), part(told, "invariants", dict, "")
+    allowed = part(told, "allowed", dict, "")
+    calls, without = (
+        part(own, "classCalls", list, "specifics."),
+        part(own, "classSkipWorth", list, "specifics."),
+    )
+
+    def number(key: str, of: dict = own, where: str = "specifics") -> float:
+        return amount(of, key, where)
+
+    tariffs = []
+    for at, each in enumerate(part(told, "classes", list, "")):
+        where = f"classes[{at}]"
+        if not isinstance(each, dict) or not isinstance(each.get("name"), str):
+            raise BadInputError(f"{where}: no class with its name: {each!r:.60}")
+        skip = {"worth": without[at] if at < len(without) else 0}
+        tariffs.append(
+            Tariff(
+                name=each["name"],
+                effect=choose(EFFECTS, each.get("effect"), Effect.PURE, f"{where}.effect"),
+                soft_limit=micros(number("aim", each, where) or number("deadline", each, where)),
+                hard_limit=micros(number("deadline", each, where)),
+                payoff=number("worth", each, where),
+                late_payoff=number("lateWorth", each, where),
+                stretch=number("aimStretch", each, where),
+                window=micros(number("window", each, where)),
+                calls=bool(calls[at]) if at < len(calls) else False,
+                payoff_without_call=amount(skip, "worth", f"specifics.classSkipWorth[{at}]"),
+            )
         )
-        for at, each in enumerate(told.get("classes") or [])
-    ]
     return Machine(
-        cores=int(own.get("cores") or 1),
-        memory_kb=own.get("memoryKb") or 0.0,
-        run_factor=own.get("blowup") or 1.0,
-        receipt_kb=own.get("entryKb") or 0.0,
-        crowd=rules.get("tipMultiple") or 2.0,
+        cores=int(number("cores")) or 1,
+        memory_kb=number("memoryKb"),
+        run_factor=number("blowup") or 1.0,
+        receipt_kb=number("entryKb"),
+        crowd=number("tipMultiple", rules, "invariants") or 2.0,
         cold=bool(own.get("cold")),
-        cold_share=rules.get("coldFrom") or 1.0,
-        warm_after=micros(rules.get("cold")),
+        cold_share=number("coldFrom", rules, "invariants") or 1.0,
+        warm_after=micros(number("cold", rules, "invariants")),
         halt=choose(HALTS, own.get("halt"), Halt.NONE, "specifics.halt"),
         told=choose(TOLD, own.get("advert"), Told.NOTHING, "specifics.advert"),
-        callers=int(own.get("callers") or 1),
-        advice_most=micros(allowed.get("maxRetryAfter")),
+        callers=int(number("callers")) or 1,
+        advice_most=micros(number("maxRetryAfter", allowed, "allowed")),
         below=choose(BELOW, own.get("below"), Below.NOTHING, "specifics.below"),
-        calls_share=own.get("callsOut") or 0.0,
-        calls_span=micros(own.get("depWindow")),
-        connections_idle=micros(own.get("callerIdle")),
-        fresh=micros(own.get("fresh")),
+        calls_share=number("callsOut"),
+        calls_span=micros(number("depWindow")),
+        connections_idle=micros(number("callerIdle")),
+        fresh=micros(number("fresh")),
         full_checks=bool(own.get("fullChecks")),
-        grace=micros(rules.get("stopSendingWithin")),
-        resolution=micros(told.get("resolution")),
+        grace=micros(number("stopSendingWithin", rules, "invariants")),
+        resolution=micros(number("resolution", told, "settings")),
         time_told=bool(own.get("passesDeadline")),
         paid_by_work=told.get("worthBy") == "work",
         tariffs=tariffs,
@@ -84,7 +119,8 @@
 
 def decode_gauges(told: dict) -> list[str | None]:
     """The gauges in the order in which their readings come; None for one that is not known here."""
-    return [GAUGES.get(name) for name in (told.get("specifics") or {}).get("gauges") or []]
+    names = part(part(told, "specifics", dict, ""), "gauges", list, "specifics.")
+    return [GAUGES.get(name) if isinstance(name, str) else None for name in names]
 
 
 def read_gauges(names: list[str | None], readings: list[float]) -> Gauges:
--- a/lichencleat/net/config.py
+++ b/lichencleat/net/config.py
@@ -8,7 +8,7 @@
 from typing import Any
 from zlib import crc32
 
-from lichencleat.machine import BadInputError, decode_gauges, decode_machine
+from lichencleat.machine import AMOUNT_MOST, BadInputError, decode_gauges, decode_machine
 from lichencleat.terms import Machine
 
 MB = 1 << 20  # bytes
@@ -57,7 +57,7 @@
         descriptors=field(limits, "sockets", int),
         memory=int(field(limits, "memory_mb", (int, float)) * MB) if "memory_mb" in limits else None,
         machine=machine(settings),
-        gauges=decode_gauges(settings),
+        gauges=gauges(settings),
         tenants=tenants(settings),
         mark=crc32(json.dumps(settings, sort_keys=True).encode()),
     )
@@ -68,7 +68,7 @@
     if (
         not isinstance(value, kind)
         or isinstance(value, bool)
-        or (isinstance(value, int | float) and not 0 <= value < float("inf"))
+        or (isinstance(value, int | float) and key != "seed" and not 0 <= value <= AMOUNT_MOST)
     ):
         raise BadInputError(f"BALANCER_CONFIG: {key!r} is missing or wrong: {value!r:.60}")
     return value
@@ -88,11 +88,18 @@
         raise BadInputError(f"BALANCER_CONFIG: 'settings': 'orgs': {wrong!r:.200}") from wrong
 
 
+def gauges(settings: dict) -> list[str | None]:
+    try:
+        return decode_gauges(settings)
+    except BadInputError as wrong:
+        raise BadInputError(f"BALANCER_CONFIG: 'settings': {wrong}") from wrong
+
+
 def machine(settings: dict) -> Machine:
     try:
         decoded = decode_machine(settings)
-    except (BadInputError, KeyError, TypeError, ValueError, AttributeError, OverflowError) as wrong:
-        raise BadInputError(f"BALANCER_CONFIG: 'settings': {wrong!r:.200}") from wrong
+    except BadInputError as wrong:
+        raise BadInputError(f"BALANCER_CONFIG: 'settings': {wrong}") from wrong
     if not decoded.tariffs or any(each.hard_limit <= 0 for each in decoded.tariffs):
         raise BadInputError("BALANCER_CONFIG: 'settings': no classes, or one without its deadline")
     return decoded
