--- a/tests/standins.py
+++ b/tests/standins.py
@@ -145,7 +145,10 @@
 
     def serve(self, peer):
         while True:
-            words, body = peer.line((b"FETCH",))
+            try:
+                words, body = peer.line((b"FETCH",))
+            except ConnectionResetError:  # the node gives a connection up where its reply can't be read
+                return
             if not words:
                 return
             self.calls.put((peer, words, body))
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,111 @@
+"""Unreadable, half, huge, repeated input from every peer: counted, no traceback, nobody else is struck."""
+
+import pytest
+from standins import Program, array, request
+
+A, B = "00000000000000a1", "00000000000000b2"
+CHECK = array(b"HEALTH", b"9", b"")
+
+
+@pytest.fixture
+def program(tmp_path):
+    started = Program(tmp_path)
+    yield started
+    started.close()
+
+
+def served(program, peer, ident, spoil=None):
+    """One request with a call, from its array to its answer, by all peers."""
+    peer.send(request(7, b"look", ident, b"x"))
+    assert program.interpreter.next()[0][:2] == [b"APPLY", ident.encode()]
+    program.interpreter.notice(b"AWAIT %s" % ident.encode(), b"ask")
+    answering, words, _ = program.catalogue.next()
+    if spoil is not None:
+        answering.send(spoil)
+        answering, words, _ = program.catalogue.next()  # the call is made anew, on a connection of its own
+    answering.send(b"%s DATA 2\r\nok\r\n" % words[1])
+    assert program.interpreter.next() == ([b"RESOLVE", ident.encode(), b"2"], b"ok")
+    program.interpreter.notice(b"VALUE %s PASS 5" % ident.encode(), b"made")
+    answer = peer.array()
+    assert answer[:2] == [b"7", b"200"] and answer[3] == b"made"
+
+
+def ended(program):
+    program.leave()
+    code, counters, err = program.end()
+    assert code == 0 and "Traceback" not in err and "error in" not in err
+    assert "node errors" not in counters and "left with 0 unanswered" in err
+    return counters
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"\x00" * 5_000,
+        b"*0\r\n",
+        b"*99999999999999\r\n",
+        b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$4\r\nlook\r\n$9",
+        b"*8\r\n" + b"$4096\r\n%s\r\n" % (b"x" * 4_096) * 8,
+        b"*2\r\n$3\r\nREQ\r\n$1\r\n7\r\n" * 50,
+        array(b"REQ", b"7", b"look", b"i=%s" % A.encode(), b"x") * 2,
+        array(b"ABORT", b"1") * 1_000,
+        CHECK + CHECK[:-1],
+        array(b"REQ", b"0", b"", b"", b""),
+    ],
+    ids=range(10),
+)
+def test_no_bad_caller_strikes_another(program, bad):
+    peer, caller = program.ready(), program.dispatcher()
+    caller.send(bad)
+    served(program, peer, A)
+    other = program.dispatcher()
+    other.send(CHECK)
+    assert other.array()[1] == b"serving"
+    for each in (peer, caller, other):
+        each.close()
+    ended(program)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"\xff\xfe\x00\r\n",
+        b"\r\n\r\n",
+        b"VALUE\r\n",
+        b"VALUE x y z\r\n",
+        b"VALUE 99999999999999 %s PASS 5 1\r\nx\r\n" % A.encode(),
+        b"AWAIT 1 %s 999999999999\r\n" % A.encode(),
+        b"x" * 3_000,
+        b"TOPS\r\nTOPS g1\r\nTOPS g1 nan nan\r\n",
+        b"ERROR\r\nERROR APPLY\r\nERROR APPLY %s\r\n" % B.encode(),
+        b"BANNER LOADED 5\r\n",
+        b"BANNER\r\n",
+    ],
+    ids=range(11),
+)
+def test_what_the_interpreter_spoils_is_passed_over_or_its_link_renewed(program, bad):
+    peer = program.ready()
+    program.interpreter.peer.send(bad)
+    peer.send(CHECK)
+    assert peer.array()[1] == b"serving"
+    served(program, peer, A)
+    peer.close()
+    ended(program)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"\xff\xfe\r\n",
+        b"x" * 3_000,
+        b"%s DATA 99999999\r\n" % A.encode(),
+        b"%s ODD\r\n" % A.encode(),
+        b"%s DATA 2\r\nokay\r\n" % A.encode(),
+    ],
+    ids=range(5),
+)
+def test_a_spoilt_reply_to_a_call_ends_that_call_alone_and_it_is_made_anew(program, bad):
+    peer = program.ready()
+    served(program, peer, A, spoil=bad)
+    peer.close()
+    assert ended(program)["catalogue connections given up"] == 1
