Keys: a repeat of a window that one try ran in is never run for a later try that did not

Traced: 008 (s 1.030) ran and ended; 009 (s 1.230), after its window, was read first and took its place in Receipts.by_key (enter); 00a (s 1.130, in the window of 008) was read next, and so repeated 009 alone; the caller of 009 left, it ended without a run, and review_held let 00a take its place. Change: an entry stays beside a later one of its key; a try is told all that it repeats, those that have begun first (Receipts.tries, Request.repeats_else); it runs only where each of them ended without a run (first_try in decide.py).

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -526,9 +526,7 @@
     def review_held(self, now: int) -> Iterator[Decision]:
         """Repeats share a run that there is; what is no use any more goes; the rest has its entry."""
         for request in list(self.held):
-            first = request.repeats
-            while first is not None and first.successor is not None:
-                first = request.repeats = first.successor
+            first = request.repeats = self.first_try(request)
             if request.repeats_unknown or (first is not None and first.started is not None):
                 if first is None or first.state is not State.ENDED or first.succeeded:
                     self.move(request, self.sharing, State.SHARING)
@@ -553,6 +551,22 @@
             elif bare:
                 yield self.record(now, request)  # however it came into the hold: without, it never starts
 
+    def first_try(self, request: Request) -> Request | None:
+        """The try that it repeats, or the one that took its place.
+
+        Guards the windows of several tries of one key that were read out of their order: a repeat runs only
+        where each of those that it repeats has ended without a run.
+        """
+        first = request.repeats
+        while first is not None:
+            if first.successor is not None:
+                first = first.successor
+            elif first.state is State.ENDED and first.started is None and request.repeats_else:
+                first = request.repeats_else.pop()
+            else:
+                break
+        return first
+
     def takes_entry(self, request: Request) -> bool:
         shared = self.fresh > 0 and request.has_subject and self.used_kb() < self.memory_kb * ENTRY_PART
         return shared or request.tariff.effect is Effect.RECEIPTED
--- a/lichencleat/net/host.py
+++ b/lichencleat/net/host.py
@@ -148,8 +148,9 @@
     def takes(self, case: Case) -> None:
         """What is known of its key was looked up: now it is for the decisions."""
         request = case.request
-        if case.key and (first := self.receipts.first(case.key, request)) is not None:
-            request.repeats, request.repeats_unknown = first, False
+        if case.key and (tries := self.receipts.tries(case.key, request)):
+            *request.repeats_else, request.repeats = tries
+            request.repeats_unknown = False
         elif case.key and not request.repeats_unknown:
             self.receipts.enter(case.key, request)
         self.node.arrives(self.clock(), request)
--- a/lichencleat/net/receipts.py
+++ b/lichencleat/net/receipts.py
@@ -32,7 +32,7 @@
 
     def __init__(self, deadlines: Deadlines) -> None:
         self.deadlines = deadlines
-        self.by_key: dict[bytes, Receipt] = {}
+        self.by_key: dict[bytes, list[Receipt]] = {}  # several, where their windows end one after the other
         self.by_request: dict[Request, Receipt] = {}
 
     def read(self, key: bytes, request: Request) -> Request | None:
@@ -43,13 +43,23 @@
         return first
 
     def first(self, key: bytes, request: Request) -> Request | None:
-        """The try that this one repeats, if any."""
-        receipt = self.by_key.get(key)
-        return receipt.request if receipt is not None and receipt.leads(request.arrived) else None
+        """The try that this one repeats before any other."""
+        tries = self.tries(key, request)
+        return tries[-1] if tries else None
+
+    def tries(self, key: bytes, request: Request) -> list[Request]:
+        """All that this one repeats: those that have begun last, and of them the newest.
+
+        Guards the window of one that ran against a later one that did not, where a try of that window is read
+        after both.
+        """
+        leading = [each.request for each in self.by_key.get(key, ()) if each.leads(request.arrived)]
+        return sorted(leading, key=lambda each: each.started is not None)
 
     def enter(self, key: bytes, request: Request) -> Receipt:
-        """The one before of that key stays with its request: a repeat that came in time may yet share it."""
-        receipt = self.by_key[key] = self.by_request[request] = Receipt(key, request)
+        """Those before of that key stay: a repeat that came in time may yet be read."""
+        receipt = self.by_request[request] = Receipt(key, request)
+        self.by_key.setdefault(key, []).append(receipt)
         return receipt
 
     def record(self, now: int, key: bytes, request: Request, span: int) -> None:
@@ -73,8 +83,11 @@
 
     def forget(self, receipt: Receipt) -> None:
         self.deadlines.cancel(receipt.gone)
-        if self.by_key.get(receipt.key) is receipt:
-            del self.by_key[receipt.key]
+        known = self.by_key.get(receipt.key, [])
+        if receipt in known:
+            known.remove(receipt)
+        if not known:
+            self.by_key.pop(receipt.key, None)
         self.by_request.pop(receipt.request, None)
 
     def share(self, request: Request, sharer: Any) -> Receipt | None:
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -133,6 +133,7 @@
     place: float = 0.0
     caller: int = 0
     repeats: Request | None = None
+    repeats_else: list[Request] = field(default_factory=list)  # other tries of its key whose windows it is in
     repeats_unknown: bool = False  # it repeats one that the host no longer has
     successor: Request | None = None  # the repeat that took its place, as it never ran
     has_subject: bool = False
