--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -62,11 +62,12 @@
         self.checks_only = True
         self.bad = 0  # unusable arrays
         self.whole_by: Deadline | None = None  # the array under way, or the first one
+        self.slow = False  # it was not whole by then, and is not waited for
         self.going = False  # goaway was sent
         self.closing = False  # it ends once nothing is open on it
         self.deaf = False  # what comes can't be read any more, and is dropped
         self.over = False  # our side is shut: what comes crossed that, and is dropped
-        self.shut_at: int | None = None
+        self.ended_at: int | None = None  # when the end of our side went out
         self.dropped = 0  # bytes
         self.unread: Deadline | None = None
         self.idle: Deadline | None = None
@@ -107,16 +108,17 @@
 
     def readConnectionLost(self) -> None:
         """The caller ended its side: nobody waits any more, and what was written goes out."""
+        if not self.over:
+            self.transport.unregisterProducer()
         self.closing = self.over = True
         self.caller_gone()
         self.door.deadlines.cancel(self.unread)
         self.unread = self.door.deadlines.after(UNREAD_LONG, self.abort, "answers left unread")
-        if self.shut_at is None:
-            self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def writeConnectionLost(self) -> None:
         """All answers went out, and then the end of our side."""
+        self.ended_at = self.door.deadlines.now()
         self.door.deadlines.cancel(self.unread)
         self.unread = self.door.deadlines.after(LINGER, self.transport.loseConnection)
 
@@ -179,8 +181,8 @@
         if came:
             self.door.strangers.pop(self, None)
             self.door.deadlines.cancel(self.whole_by)
-            self.whole_by = None
-        if self.whole_by is None and self.reader.begun():
+            self.whole_by, self.slow = None, False
+        if self.whole_by is None and self.reader.begun() and not self.slow:
             self.whole_by = self.door.deadlines.after(REST_WAIT, self.too_slow, "an array came without end")
 
     def take(self, words: list[bytes]) -> None:
@@ -239,10 +241,10 @@
 
     def too_slow(self, why: str) -> None:
         """Guards the descriptors. One that spoke is asked to go: should the rest come, it is taken."""
-        self.whole_by = None
+        self.whole_by, self.slow = None, True
         self.door.report.count("dispatchers", "arrays too slow")
         self.door.report.note(f"dispatchers: {why}; the connection is closed")
-        if self in self.door.strangers:
+        if self in self.door.strangers or self.closing:
             self.end()
         else:
             self.go_away()
@@ -300,9 +302,10 @@
 
         A connection with a producer would wait for that to go on.
         """
-        if self.over or (self.cases and not in_any_case):
+        under_way = self.going and not self.closing and self.whole_by is not None and self.reader.begun()
+        if self.over or ((self.cases or under_way) and not in_any_case):
             return
-        self.over, self.shut_at = True, self.door.deadlines.now()
+        self.over = True
         for each in (self.whole_by, self.idle, self.unread):
             self.door.deadlines.cancel(each)
         self.door.strangers.pop(self, None)
@@ -434,7 +437,7 @@
         """Ends the oldest that said nothing, or the longest at rest, and is done with those that linger."""
         now = self.deadlines.now()
         for each in self.connections:
-            if each.shut_at is not None and each.shut_at < now - REST_CUT:
+            if each.ended_at is not None and each.ended_at < now - REST_CUT:
                 each.transport.abortConnection()
         oldest = next(iter(self.strangers), None)
         if oldest is None or oldest.last_traffic >= now - REST_CUT:
--- a/tests/net/test_ends.py
+++ b/tests/net/test_ends.py
@@ -119,3 +119,39 @@
     extra.makeConnection(Transport())
     extra.pauseProducing()
     assert not held[0].transport.aborted  # it reads again, so it is none of them
+
+
+def test_an_array_under_way_puts_the_end_of_a_caller_asked_to_go_off_until_it_is_whole(connection, reactor):
+    connection.dataReceived(CHECK)
+    connection.go_away()
+    reactor.advance(0.2)
+    connection.dataReceived((REQUEST % ID)[:40])
+    for _ in range(4):
+        reactor.advance(0.1)
+        reactor.advance(0)
+    assert not connection.transport.ended
+    connection.dataReceived((REQUEST % ID)[40:])
+    assert list(connection.cases) == [7]
+
+
+@pytest.mark.parametrize("spoke", [False, True])
+def test_half_an_array_keeps_no_place_that_others_need(connection, reactor, spoke):
+    connection.dataReceived((CHECK if spoke else b"") + (REQUEST % ID)[:40])
+    reactor.advance(0.1)
+    connection.door.make_room()
+    reactor.advance(0)
+    assert connection.transport.ended
+
+
+def test_one_that_lingers_is_let_go_for_others_only_after_its_answers_went_out(connection, reactor):
+    connection.dataReceived(CHECK)
+    connection.shut()
+    reactor.advance(0.1)
+    connection.door.make_room()
+    assert not connection.transport.aborted  # its caller has not read yet what was written
+    connection.writeConnectionLost()
+    connection.door.make_room()
+    assert not connection.transport.aborted  # what crosses may still come
+    reactor.advance(0.1)
+    connection.door.make_room()
+    assert connection.transport.aborted
