--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -36,6 +36,18 @@
         each.close()
 
 
+def asked_to_go(started):
+    """A program, and a caller that it served and then, as that rested, asked to go."""
+    program = started(settings=idle_after(0.2))
+    peer = program.ready()
+    peer.send(request(7, b"look", A, b"x"))
+    program.interpreter.next()
+    program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"made")
+    assert peer.array()[1] == b"200"
+    assert peer.array() == [b"0", b"goaway"]
+    return program, peer
+
+
 def halt(program):
     """The program stands still until `go`: what is written meanwhile waits in the kernel."""
     program.process.send_signal(signal.SIGSTOP)
@@ -69,13 +81,7 @@
 
 
 def test_a_request_that_crosses_goaway_before_the_end_is_served(started):
-    program = started(settings=idle_after(0.2))
-    peer = program.ready()
-    peer.send(request(7, b"look", A, b"x"))
-    program.interpreter.next()
-    program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"made")
-    assert peer.array()[1] == b"200"
-    assert peer.array() == [b"0", b"goaway"]
+    program, peer = asked_to_go(started)
     peer.send(request(8, b"look", "00000000000000b2", b"y"))
     program.interpreter.next()
     program.interpreter.notice(b"VALUE 00000000000000b2 PASS 5", b"more")
@@ -84,13 +90,7 @@
 
 
 def test_a_request_that_crosses_the_end_is_never_run_and_resets_nothing(started):
-    program = started(settings=idle_after(0.2))
-    peer = program.ready()
-    peer.send(request(7, b"look", A, b"x"))
-    program.interpreter.next()
-    program.interpreter.notice(b"VALUE %s PASS 5" % A.encode(), b"made")
-    assert peer.array()[1] == b"200"
-    assert peer.array() == [b"0", b"goaway"]
+    program, peer = asked_to_go(started)
     assert peer.array() is None  # its side has ended
     peer.send(request(8, b"look", "00000000000000b2", b"y"))
     peer.sock.shutdown(socket.SHUT_WR)
