--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,7 +1,7 @@
 """Unreadable, half, huge, repeated input from every peer: counted, no traceback, nobody else is struck."""
 
 import pytest
-from standins import Program, array, request
+from standins import PATIENCE, Program, array, request
 
 A, B = "00000000000000a1", "00000000000000b2"
 CHECK = array(b"HEALTH", b"9", b"")
@@ -67,25 +67,27 @@
 
 
 @pytest.mark.parametrize(
-    "bad",
+    ("bad", "renewed"),
     [
-        b"\xff\xfe\x00\r\n",
-        b"\r\n\r\n",
-        b"VALUE\r\n",
-        b"VALUE x y z\r\n",
-        b"VALUE 99999999999999 %s PASS 5 1\r\nx\r\n" % A.encode(),
-        b"AWAIT 1 %s 999999999999\r\n" % A.encode(),
-        b"x" * 3_000,
-        b"TOPS\r\nTOPS g1\r\nTOPS g1 nan nan\r\n",
-        b"ERROR\r\nERROR APPLY\r\nERROR APPLY %s\r\n" % B.encode(),
-        b"BANNER LOADED 5\r\n",
-        b"BANNER\r\n",
+        (b"\xff\xfe\x00\r\n", False),
+        (b"\r\n\r\n", False),
+        (b"VALUE\r\n", False),
+        (b"VALUE x y z\r\n", False),
+        (b"VALUE 99999999999999 %s PASS 5 1\r\nx\r\n" % A.encode(), False),
+        (b"AWAIT 1 %s 999999999999\r\n" % A.encode(), True),
+        (b"x" * 3_000, True),
+        (b"TOPS\r\nTOPS g1\r\nTOPS g1 nan nan\r\n", False),
+        (b"ERROR\r\nERROR APPLY\r\nERROR APPLY %s\r\n" % B.encode(), False),
+        (b"BANNER LOADED 5\r\n", False),
+        (b"BANNER\r\n", True),
     ],
     ids=range(11),
 )
-def test_what_the_interpreter_spoils_is_passed_over_or_its_link_renewed(program, bad):
+def test_what_the_interpreter_spoils_is_passed_over_or_its_link_renewed(program, bad, renewed):
     peer = program.ready()
     program.interpreter.peer.send(bad)
+    if renewed:  # what is asked now is asked on the new link
+        assert program.interpreter.connects.get(timeout=PATIENCE) == 0
     peer.send(CHECK)
     assert peer.array()[1] == b"serving"
     served(program, peer, A)
