--- a/lichencleat/net/config.py
+++ b/lichencleat/net/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from zlib import crc32
@@ -57,7 +57,7 @@
         descriptors=field(limits, "sockets", int),
         memory=int(field(limits, "memory_mb", (int, float)) * MB) if "memory_mb" in limits else None,
         machine=machine(settings),
-        gauges=gauges(settings),
+        gauges=decoded(decode_gauges, settings),
         tenants=tenants(settings),
         mark=crc32(json.dumps(settings, sort_keys=True).encode()),
     )
@@ -88,18 +88,15 @@
         raise BadInputError(f"BALANCER_CONFIG: 'settings': 'orgs': {wrong!r:.200}") from wrong
 
 
-def gauges(settings: dict) -> list[str | None]:
+def decoded(decode: Callable[[dict], Any], settings: dict) -> Any:
     try:
-        return decode_gauges(settings)
+        return decode(settings)
     except BadInputError as wrong:
         raise BadInputError(f"BALANCER_CONFIG: 'settings': {wrong}") from wrong
 
 
 def machine(settings: dict) -> Machine:
-    try:
-        decoded = decode_machine(settings)
-    except BadInputError as wrong:
-        raise BadInputError(f"BALANCER_CONFIG: 'settings': {wrong}") from wrong
-    if not decoded.tariffs or any(each.hard_limit <= 0 for each in decoded.tariffs):
+    made = decoded(decode_machine, settings)
+    if not made.tariffs or any(each.hard_limit <= 0 for each in made.tariffs):
         raise BadInputError("BALANCER_CONFIG: 'settings': no classes, or one without its deadline")
-    return decoded
+    return made
