--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -31,6 +31,7 @@
     "sortedcontainers": "store",
     "hdrh": "bench",
     "structlog": "fleet",
+    "xxhash": "fleet",
 }
 
 
