--- a/lichencleat/distribution/terms.py
+++ b/lichencleat/distribution/terms.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-PAGES = 4_096  # of a table: a page is what is rewritten by a change, sent in a snapshot and digested as a whole
+PAGES = 4_096  # of a table: a page is rewritten by a change, sent in a snapshot, digested as a whole
 DIGEST = 16  # bytes
 
 KIND_MOST = 16  # characters of a record's kind: "route", "tenant"
@@ -29,7 +29,8 @@
 VIEWS_MOST = 3  # snapshots of different versions that a relay keeps for those that fetch one
 
 HOLD = 1_000_000  # µs that an answer may be held back where there is no news
-FOLLOW, DIGESTS, PAGES_OF, IN_FORCE, FIND = "follow", "digests", "pages", "in force", "find"  # a Request's what
+# what a Request asks
+FOLLOW, DIGESTS, PAGES_OF, IN_FORCE, FIND = "follow", "digests", "pages", "in force", "find"
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
