--- a/lichencleat/lab/checkers/distribution.py
+++ b/lichencleat/lab/checkers/distribution.py
@@ -1,5 +1,5 @@
-"""What must hold of processes that have a configuration in force, whatever fails: judged from what each of them
-said that it answers, and from what they told the ones above. No I/O.
+"""What must hold of processes that have a configuration in force, whatever fails: judged from what each of
+them said that it answers, and from what they told the ones above. No I/O.
 
 Times are µs of the machine's one monotonic clock, also where a process's own clocks run wrong.
 """
