--- /dev/null
+++ b/lichencleat/distribution/table.py
@@ -0,0 +1,273 @@
+"""All records of a version in 4,096 packed pages, and the batches that move it on; no I/O.
+
+Promises: the same records make the same bytes and the same digest, whatever the way to them; a batch is in
+the table whole or not at all; nothing of it is seen before `take`; the version never goes back. The digest is
+the sum of the pages' digests modulo 2**128, so a change costs the pages that it touches.
+
+Memory: the bytes of kind, name and value, 10 more a record and some 50 more a page. Staged pages come on top
+until they are taken: those that the batches touch, or all that differ in a snapshot.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+from lichencleat.distribution import pages
+from lichencleat.distribution.errors import ChainError, SpoiltError, UnfitError
+from lichencleat.distribution.rebuild import Rebuild
+from lichencleat.distribution.terms import (
+    BATCH_BYTES,
+    BATCH_MOST,
+    DIGEST,
+    KIND_MOST,
+    NAME_MOST,
+    PAGES,
+    RECORDS_MOST,
+    TABLE_BYTES,
+    VALUE_MOST,
+    Batch,
+    Change,
+    Digests,
+    encode,
+)
+
+SLICE_BYTES = 48 << 10  # of pages rewritten in one slice, but one page at least: some 200 µs
+SLICE_CHANGES = 128  # changes looked at in one slice: some 200 µs
+
+__all__ = ["ChainError", "Rebuild", "SpoiltError", "Staging", "Table", "UnfitError", "View"]
+
+
+def unfit_change(change: Change) -> str:
+    """Why no table takes it; "" where one may."""
+    if not 0 < len(change.kind) <= KIND_MOST:
+        return f"a kind has 1 to {KIND_MOST} characters"
+    try:
+        change.kind.encode()
+        name = change.name.encode()
+    except ValueError:
+        return "kind and name have to be UTF-8"
+    if not 0 < len(name) <= NAME_MOST:
+        return f"a name has 1 to {NAME_MOST} bytes"
+    if change.value is not None and len(change.value) > VALUE_MOST:
+        return f"a value has at most {VALUE_MOST} bytes, not {len(change.value)}"
+    return ""
+
+
+def unfit(changes: Sequence[Change]) -> str:
+    """Why no table takes them as a batch; "" where one may: the totals show only at the table."""
+    if not 0 < len(changes) <= BATCH_MOST:
+        return f"a batch has 1 to {BATCH_MOST} changes, not {len(changes)}"
+    for change in changes:
+        wrong = unfit_change(change)
+        if wrong:
+            return f"{change.kind[:KIND_MOST]!r} {change.name[:NAME_MOST]!r}: {wrong}"
+    if len({(change.kind, change.name) for change in changes}) < len(changes):
+        return "a batch names each record at most once"
+    size = len(encode(tuple(changes)))
+    if size > BATCH_BYTES:
+        return f"a batch has at most {BATCH_BYTES} bytes, not {size}"
+    return ""
+
+
+class View:
+    """The table as it was at one version, for those who fetch it; it costs the pages changed since."""
+
+    def __init__(self, table: Table) -> None:
+        self.version, self.digest = table.version, table.digest
+        self.records, self.bytes = table.records, table.bytes
+        self.pages, self.page_digests = list(table.pages), list(table.page_digests)
+        self.shared = table.deflated  # by all views of the table: each page as the newest of them has it
+        self.own: dict[int, bytes] = {}  # number -> page by zlib, where it was asked for
+
+    def head(self, age: int) -> Digests:
+        """`age`: µs, as told."""
+        whole = b"".join(each.to_bytes(DIGEST, "little") for each in self.page_digests)
+        return Digests(self.version, self.digest, whole, age)
+
+    def packed(self, number: int) -> bytes:
+        """The page by zlib, made once: some 300 µs, then none. Raises IndexError."""
+        data = self.own.get(number)
+        if data is not None:
+            return data
+        digest = self.page_digests[number]
+        known = self.shared.get(number)
+        data = known[1] if known is not None and known[0] == digest else pages.deflated(self.pages[number])
+        if known is None or known[2] < self.version:
+            self.shared[number] = digest, data, self.version
+        self.own[number] = data
+        return data
+
+
+class Table:
+    """What is in force. One owner changes it, by `Staging`, `Rebuild` or `apply`."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.pages = [b""] * PAGES
+        self.page_digests = list(pages.EMPTY)
+        self.total = sum(self.page_digests) & pages.SUM_MASK
+        self.records = 0
+        self.bytes = 0
+        self.before: list[bytes | None] = []  # what the changes of the last `apply` found, in their order
+        self.deflated: dict[int, tuple[int, bytes, int]] = {}  # number -> digest, page by zlib, its version
+
+    @property
+    def digest(self) -> bytes:
+        return pages.digest_bytes(self.total)
+
+    def find(self, kind: str, name: str) -> bytes | None:
+        """The value, or None; a few µs."""
+        try:
+            key = pages.key_of(kind, name)
+        except ValueError:  # no record has such a name
+            return None
+        number, place = pages.place_of(key)
+        return pages.find(self.pages[number], place, key)
+
+    def items(self) -> Iterator[tuple[str, str, bytes]]:
+        """Kind, name and value of all records, page by page; of each page as it is when it is come to."""
+        for number in range(PAGES):
+            yield from pages.entries(self.pages[number])
+
+    def stage(self, batches: Sequence[Batch]) -> Staging:
+        """Raises ChainError where they do not follow the version in force, one another."""
+        return Staging(self, batches)
+
+    def rebuild(self, head: Digests) -> Rebuild:
+        """Towards that snapshot. Raises SpoiltError where it can't be one, ChainError where it is older."""
+        return Rebuild(self, head)
+
+    def view(self) -> View:
+        """Some 20 µs; it keeps the pages of this version alive."""
+        return View(self)
+
+    def apply(self, version: int, changes: Sequence[Change]) -> Batch:
+        """All at once, for the one who makes the batch. Raises UnfitError or ChainError: nothing changed.
+
+        Refusals depend on the table and the changes alone, so that each voter refuses the same.
+        """
+        wrong = unfit(changes)
+        if wrong:
+            raise UnfitError(wrong)
+        batch = Batch(version, self.version, b"", tuple(changes))
+        staging = Staging(self, (batch,), checks=False)
+        while not staging.step():
+            pass
+        before = staging.before
+        staging.take()
+        self.before = before
+        return Batch(version, batch.past, self.digest, batch.changes)
+
+    @staticmethod
+    def loaded(version: int, whole: Sequence[bytes]) -> Table:
+        """All at once. Raises SpoiltError where a page can't be one."""
+        if len(whole) != PAGES:
+            raise SpoiltError(f"a table has {PAGES} pages, not {len(whole)}")
+        table = Table()
+        for number, page in enumerate(whole):
+            wrong = pages.fault(number, page)
+            if wrong:
+                raise SpoiltError(f"page {number}: {wrong}")
+        table.pages = list(whole)
+        table.page_digests = [pages.digest_of(number, page) for number, page in enumerate(whole)]
+        table.total = sum(table.page_digests) & pages.SUM_MASK
+        table.records, table.bytes = sum(map(pages.count_of, whole)), sum(map(len, whole))
+        table.version = version
+        return table
+
+
+class Staging:
+    """Batches beside the table. `step` until it gives True, then `take`; dropping it changes nothing."""
+
+    def __init__(self, table: Table, batches: Sequence[Batch], checks: bool = True) -> None:
+        """Without `checks` the digests are not compared: for the one who makes the batch."""
+        self.table, self.batches, self.checks = table, tuple(batches), checks
+        self.base = version = table.version
+        for batch in self.batches:
+            if batch.past != version or batch.version <= version:
+                raise ChainError(f"{batch.version} follows {batch.past}, not {version}")
+            version = batch.version
+        self.version = version  # once it is taken
+        self.new: dict[int, bytes] = {}  # pages, by number
+        self.digests: dict[int, int] = {}
+        self.total, self.records, self.bytes = table.total, table.records, table.bytes
+        self.before: list[bytes | None] = []  # what the changes found, in their order
+        self.at = 0  # the batch under way
+        self.sorted = 0  # its changes that have their page
+        self.by_page: dict[int, list[pages.Put]] = {}
+        self.order: dict[int, list[int]] = {}  # page -> where its changes stand in `before`
+        self.begins = 0  # where this batch's stand
+
+    def step(self) -> bool:
+        """One slice, some 200 µs; True once all is staged and each digest is right.
+
+        Raises SpoiltError for another digest or a bound that is broken; without `checks` UnfitError.
+        """
+        if self.at == len(self.batches):
+            return True
+        batch = self.batches[self.at]
+        if self.sorted < len(batch.changes):
+            self.sort(batch.changes)
+            return False
+        room = SLICE_BYTES
+        while self.by_page and room > 0:
+            room -= self.write(*self.by_page.popitem())
+        if not self.by_page:
+            self.end(batch)
+        return self.at == len(self.batches)
+
+    def sort(self, changes: Sequence[Change]) -> None:
+        begin = self.sorted
+        for at, change in enumerate(changes[begin : begin + SLICE_CHANGES], begin):
+            wrong = unfit_change(change) if self.checks else ""
+            if wrong:
+                raise SpoiltError(wrong)
+            key = pages.key_of(change.kind, change.name)
+            number, place = pages.place_of(key)
+            self.by_page.setdefault(number, []).append((place, key, change.value))
+            self.order.setdefault(number, []).append(self.begins + at)
+        self.sorted = min(begin + SLICE_CHANGES, len(changes))
+        self.before += [None] * (self.sorted - begin)
+
+    def write(self, number: int, puts: list[pages.Put]) -> int:
+        """Bytes looked through."""
+        old = self.new[number] if number in self.new else self.table.pages[number]
+        page, before = pages.rewritten(old, puts)
+        for at, value in zip(self.order.pop(number), before, strict=True):
+            self.before[at] = value
+        if len(page) > pages.PAGE_MOST:
+            self.refuse(f"page {number} would have {len(page)} bytes, {pages.PAGE_MOST} at the most")
+        digest = pages.digest_of(number, page)
+        past = self.digests[number] if number in self.digests else self.table.page_digests[number]
+        self.total += digest - past
+        self.records += pages.count_of(page) - pages.count_of(old)
+        self.bytes += len(page) - len(old)
+        self.new[number], self.digests[number] = page, digest
+        return len(page)
+
+    def end(self, batch: Batch) -> None:
+        if self.records > RECORDS_MOST:
+            self.refuse(f"there would be {self.records} records, {RECORDS_MOST} at the most")
+        if self.bytes > TABLE_BYTES:
+            self.refuse(f"the table would have {self.bytes} bytes, {TABLE_BYTES} at the most")
+        if self.checks and pages.digest_bytes(self.total) != batch.digest:
+            raise SpoiltError(f"version {batch.version}: its digest is another")
+        self.at += 1
+        self.sorted, self.begins = 0, len(self.before)
+
+    def refuse(self, why: str) -> None:
+        raise SpoiltError(why) if self.checks else UnfitError(why)
+
+    def take(self) -> None:
+        """In force from now on, in one turn. Raises ChainError if the table has moved meanwhile."""
+        if self.at < len(self.batches):
+            raise ChainError("not staged yet")
+        if self.table.version != self.base:
+            raise ChainError(f"the table is at {self.table.version}, not at {self.base} any more")
+        table = self.table
+        for number, page in self.new.items():
+            table.pages[number] = page
+        for number, digest in self.digests.items():
+            table.page_digests[number] = digest
+        table.total, table.records, table.bytes = self.total & pages.SUM_MASK, self.records, self.bytes
+        table.version = self.version
