--- /dev/null
+++ b/tests/distribution/test_relay_file.py
@@ -0,0 +1,74 @@
+"""A relay's file: mistakes are told with their line, and nothing of a wrong one is used."""
+
+from pathlib import Path
+
+import pytest
+
+from lichencleat.chosen.file import WrongFileError
+from lichencleat.distribution.file import read_relay
+
+GOOD = """distribution:
+  group: config
+  name: north-a-1
+  zone: north-a
+  listen: 127.0.0.1:7931
+  sources:
+    - [127.0.0.1:7921, 127.0.0.1:7922]
+    - [127.0.0.1:7901]
+"""
+
+
+@pytest.fixture
+def file(tmp_path):
+    def write(text):
+        path = tmp_path / "relay.yaml"
+        path.write_text(text)
+        return str(path)
+
+    return write
+
+
+def test_a_good_file_is_read_with_its_defaults(file):
+    relay = read_relay(file(GOOD))
+    assert relay.sources == [["127.0.0.1:7921", "127.0.0.1:7922"], ["127.0.0.1:7901"]]
+    assert (relay.directory, relay.disk, relay.log.form) == (None, "real", "logfmt")
+
+
+@pytest.mark.parametrize("name", ["region", "zone"])
+def test_the_examples_are_right(name):
+    assert read_relay(f"{Path(__file__).parents[2]}/deploy/relays/{name}.yaml").group == "config"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ("  zone:", "  zones:", "line 4: distribution: unknown key 'zones'; known here: directory, disk"),
+        ("  listen: 127.0.0.1:7931\n", "", "line 1: distribution: Object missing required field `listen`"),
+        ("[127.0.0.1:7901]", "[]", "line 8: distribution.sources[1]: Expected `array` of length >= 1"),
+        ("[127.0.0.1:7901]", "[voter:7901]", "line 8: distribution.sources[1][0]: Expected `str` matching"),
+        ("[127.0.0.1:7901]", "[127.0.0.1:0]", "line 8: distribution.sources[1][0]: 127.0.0.1:0 is none"),
+        (
+            "[127.0.0.1:7901]",
+            "[127.0.0.1:7921]",
+            "line 8: distribution.sources[1][0]: 127.0.0.1:7921 stands twice",
+        ),
+        ("[127.0.0.1:7901]", "[127.0.0.1:7931]", "[1][0]: 127.0.0.1:7931 is this process itself"),
+        (
+            "listen: 127.0.0.1:7931",
+            "listen: 300.0.0.1:7931",
+            "line 5: distribution.listen: 300.0.0.1:7931 is none",
+        ),
+        ("  name: north-a-1", "  name: ''", "line 3: distribution.name: Expected `str` of length >= 1"),
+        ("distribution:", "distributions:", "line 1: the file: unknown key 'distributions'"),
+        (
+            "[127.0.0.1:7901]",
+            "[" + ", ".join(f"10.0.0.{n}:1" for n in range(31)) + "]",
+            "line 6: distribution.sources: 33 addresses; 32 at the most",
+        ),
+    ],
+)
+def test_a_mistake_is_told_with_its_place(file, old, new, told):
+    assert old in GOOD
+    with pytest.raises(WrongFileError) as wrong:
+        read_relay(file(GOOD.replace(old, new)))
+    assert told in str(wrong.value)
