Distribution: the source as a part of a group's state, and voters that answer subscribers

Configuration needs one place where a batch is decided on, and voters that feed relays from what they have applied.

A group with quorum.distribution has facts and distribution alone. Each accepted entry is a batch of its index; the last batches stay with what they replaced. A dump is a copy of bytes: pages are compressed a few an entry. The process has a seam (serves.py) for questions that are none of the group's; what fails there ends the serving, not the voter. A leader's age counts from before a proved read, a follower's from the leader's last word whose commit it has, which is told in full now.

--- a/lichencleat/quorum/arrival.py
+++ b/lichencleat/quorum/arrival.py
@@ -4,7 +4,9 @@
 
 from lichencleat.quorum.terms import Message, Snapshot
 
-SNAPSHOT_MOST = 12 << 20  # bytes: a store's value holds it, with room for the group
+# bytes of one, held whole in memory here: pages of configuration that do not compress (distribution/terms.py
+# has 128 MiB of them), its window of 16 MiB, and the sessions
+SNAPSHOT_MOST = 160 << 20
 
 
 class Arrival:
@@ -12,15 +14,15 @@
 
     def __init__(self) -> None:
         self.first: Message | None = None
-        self.data = b""
+        self.data = bytearray()  # grows in place: as bytes each piece would copy all before it
 
     def clear(self) -> None:
-        self.first, self.data = None, b""
+        self.first, self.data = None, bytearray()
 
     def take(self, m: Message) -> Snapshot | int:
         """The whole snapshot, or how many bytes of it are here: the next piece begins there."""
         if m.offset == 0 and m.group is not None and m.size <= SNAPSHOT_MOST:
-            self.first, self.data = m, b""
+            self.first, self.data = m, bytearray()
         first = self.first
         if first is None or first.group is None or (first.index, first.past) != (m.index, m.past):
             return 0
@@ -28,6 +30,6 @@
             self.data += m.data
         if len(self.data) < first.size:
             return len(self.data)
-        snapshot = Snapshot(first.index, first.past, first.group, self.data)
+        snapshot = Snapshot(first.index, first.past, first.group, bytes(self.data))
         self.clear()
         return snapshot
--- a/lichencleat/quorum/file.py
+++ b/lichencleat/quorum/file.py
@@ -38,6 +38,7 @@
     zone: str = ""
     times: TimesChoice = TimesChoice()
     log: LogChoice = LogChoice()
+    distribution: bool = False  # of configuration, and of nothing else but facts
     disk: Literal["real", "held back"] = "real"  # held back: for tests, a kill loses what was not flushed
 
 
--- a/lichencleat/quorum/following.py
+++ b/lichencleat/quorum/following.py
@@ -91,11 +91,12 @@
 
     def word(self, entries: Entries, word: Message) -> Message:
         """That the leader is there, and the round it asks for. It rests on what the follower is known to
-        have.
+        have; what is committed beyond that it is told too, takes over only as far as it has it, and so knows
+        that it lacks some.
         """
         before = max(self.match, entries.base)
         past = entries.term(before) or 0
-        return replace(word, index=before, past=past, commit=min(word.commit, before))
+        return replace(word, index=before, past=past)
 
     def piece(self, entries: Entries, word: Message) -> Message | None:
         snapshot = entries.snapshot
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -9,7 +9,7 @@
 import random
 import traceback
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -19,16 +19,31 @@
 from lichencleat.quorum.journal import Journal
 from lichencleat.quorum.links import Called, Door, Out
 from lichencleat.quorum.member import Role
+from lichencleat.quorum.saves import Saves
 from lichencleat.quorum.seats import Life, Seats, Welcome
+from lichencleat.quorum.serves import Guarded, Log, Serves
 from lichencleat.quorum.sessions import Verdict
 from lichencleat.quorum.state import Part, State, command
-from lichencleat.quorum.terms import Act, Decision, Group, Member, Message, Reason, Times
+from lichencleat.quorum.terms import Act, Decision, Group, Kind, Member, Message, Reason, Times
 from lichencleat.quorum.voter import Voter
-from lichencleat.quorum.wire import FORMAT, Carried, Greeted, Greeting, Reply, Request, raw
+from lichencleat.quorum.wire import (
+    FORMAT,
+    Carried,
+    Greeted,
+    Greeting,
+    Reply,
+    Request,
+    decode_proposal,
+    decode_read,
+    decode_seat,
+    decode_who,
+    raw,
+)
 from lichencleat.store.batch import Batch
 from lichencleat.store.store import Store
 
 SNAPSHOT_EACH = 2_000  # entries applied from one dump of the state to the next: some MB of log
+SNAPSHOT_BYTES = 32 << 20  # of their data, after which one is due earlier: two lots of them are in memory
 TEND = 0.05  # s between looks at what a leader has to propose of its own
 LOOK = 0.02  # s between looks whether a start has been vouched for
 IDENTITY, LIFE = b"i", b"l"  # keys in the store; a life's goes on with the seat's eight bytes
@@ -45,36 +60,7 @@
     start: int
 
 
-class WhoItIs(msgspec.Struct, frozen=True, array_like=True):
-    """A request to add a member."""
-
-    seat: int
-    name: str
-    host: str
-    port: int
-    zone: str = ""
-    votes: bool = False
-
-
-class Proposal(msgspec.Struct, frozen=True, array_like=True):
-    session: int
-    number: int
-    data: bytes
-
-
 decode_identity = msgspec.msgpack.Decoder(Identity).decode
-decode_who = msgspec.msgpack.Decoder(WhoItIs).decode
-decode_proposal = msgspec.msgpack.Decoder(Proposal).decode
-decode_read = msgspec.msgpack.Decoder(tuple[str, Any]).decode
-decode_seat = msgspec.msgpack.Decoder(int).decode
-
-
-class Log(Protocol):
-    """Where events are told; `lichencleat.logs` makes one."""
-
-    def info(self, event: str, **fields: Any) -> Any: ...
-
-    def warning(self, event: str, **fields: Any) -> Any: ...
 
 
 def life_key(seat: int) -> bytes:
@@ -106,6 +92,7 @@
         tend: Callable[[State | None, int], list[tuple[str, Any]]] = lambda state, now: [],
         times: Times | None = None,
         zone: str = "",
+        serves: Serves | None = None,
     ) -> None:
         """`identity` is confirmed on the disk. `tend`: what a leader proposes of its own, as part and
         command, from the state and µs of its clock; asked a few times a second, and with None as state once
@@ -115,10 +102,12 @@
         """
         self.reactor, self.store, self.identity, self.log, self.rng = reactor, store, identity, log, rng
         self.parts, self.tend, self.zone = parts, tend, zone
+        self.serves = Guarded(serves, log)
         self.state = State(parts())
         self.journal = Journal()
         get = store.engine.get
         durable = self.journal.load(get)
+        self.saves = Saves(store, self.journal, self.saved, self.disk_failed)
         self.voter = Voter(identity.seat, durable, times or Times(), rng, self.now())
         known = {}
         for key, data in store.scan(LIFE):
@@ -133,6 +122,7 @@
         self.linked: Group | None = None  # the group that `outs` are made for
         self.reads: list[tuple[int, Any, Callable[..., None]]] = []
         self.dumped: tuple[int, bytes] | None = None
+        self.since_dump = 0  # bytes of entries applied
         self.stirred = False
         self.timer: Any = None
         self.looking: Any = None
@@ -143,6 +133,7 @@
         self.tending: Any = None
         self.door = Door(reactor, self, *listen)
         self.relink()
+        self.serves.tell(lambda serves: serves.begins(self))
         self.look()
 
     def now(self) -> int:
@@ -221,6 +212,7 @@
 
     def disk_failed(self, failure: Any) -> None:
         if not self.ending:
+            self.serves.end()
             self.voter.disk_failed(failure.getErrorMessage())
             self.stir()
 
@@ -229,6 +221,8 @@
     def hears(self, message: Message) -> None:
         if self.takes_part:  # else it is lost, as on a link that is not up yet
             self.voter.hears(self.now(), message)
+            if message.kind == Kind.APPEND and message.term == self.voter.term:
+                self.serves.tell(lambda serves: serves.word(message.commit))
             self.stir()
 
     def link_lost(self, seat: int) -> None:
@@ -236,6 +230,7 @@
         self.stir()
 
     def hung_up(self, link: Called, seat: int) -> None:
+        self.serves.tell(lambda serves: serves.hung_up(link))
         if self.callers.get(seat) is link:
             del self.callers[seat]
 
@@ -264,6 +259,7 @@
             self.end(3)
         if self.ending:
             return
+        self.serves.tell(lambda serves: serves.applied(self.state))
         self.answer_reads()
         self.relink()
         self.tell_role()
@@ -279,8 +275,7 @@
         if decision.act is Act.SAVE:
             save = decision.save
             assert save is not None
-            told = self.store.commit(self.journal.batch(save))
-            told.addCallbacks(lambda _: self.saved(save.number), self.disk_failed)
+            self.saves.write(save)
         elif decision.act is Act.SEND:
             message = decision.message
             assert message is not None
@@ -293,7 +288,7 @@
             assert decision.snapshot is not None
             self.state = State(self.parts())
             self.state.restore(decision.snapshot)
-            self.dumped = None
+            self.dumped, self.since_dump = None, 0
         elif decision.act is Act.READ:
             query, answer = decision.ticket
             self.reads.append((decision.index, query, answer))
@@ -313,10 +308,12 @@
         verdict, result = self.state.apply(decision.index, decision.entry)
         if decision.ticket is not None:
             decision.ticket[1](True, verdict, result)
-        if decision.index % SNAPSHOT_EACH == 0:  # the dump before: what came since stays for slow followers
+        self.since_dump += len(decision.entry.data)
+        if decision.index % SNAPSHOT_EACH == 0 or self.since_dump >= SNAPSHOT_BYTES:
+            # the dump before: what came since stays for slow followers
             if self.dumped is not None:
                 self.voter.compact(*self.dumped)
-            self.dumped = decision.index, self.state.dump()
+            self.dumped, self.since_dump = (decision.index, self.state.dump()), 0
 
     def answer_reads(self) -> None:
         ready = [each for each in self.reads if each[0] <= self.state.applied]
@@ -367,7 +364,19 @@
 
     # -- clients -------------------------------------------------------------------------------------
 
+    def mark(self) -> bytes:
+        return self.seats.group
+
+    def prove(self, told: Callable[[bool], None]) -> None:
+        """As `serves.Asks`: a read of nothing, whose round shows that this one leads."""
+        self.voter.read(self.now(), (("", None), lambda done, *_: told(done)))
+        self.stir()
+
     def asked(self, link: Called, request: Request) -> None:
+        if self.serves.wants(request.what):
+            self.serves.tell(lambda serves: serves.asked(link, request))
+            return
+
         def answer(done: bool, what: Any = None, result: bytes = b"") -> None:
             leader = self.leader()
             link.reply(
@@ -478,6 +487,7 @@
         if self.ending:
             return
         self.ending = True
+        self.serves.end()
         for timer in (self.timer, self.looking, self.tending):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -20,6 +20,7 @@
 from lichencleat.quorum.file import QuorumChoice, host_port
 from lichencleat.quorum.journal import TOP, Journal
 from lichencleat.quorum.process import IDENTITY, Identity, Process, wake_up
+from lichencleat.quorum.serves import Serves
 from lichencleat.quorum.state import Part, State, founded
 from lichencleat.quorum.terms import Group, Member
 from lichencleat.revive.state import Fleet
@@ -32,6 +33,9 @@
 from lichencleat.zones.state import Zones
 
 BOUNDS = Bounds(segment_bytes=8 << 20, disk_bytes=256 << 20, entries=200_000)  # logs are cut at snapshots
+# two snapshots of up to 160 MiB (the one that stands, the one that is written), two lots of the log of 32 MiB
+# each, and as much again that is not cleaned yet
+DISTRIBUTION_BOUNDS = Bounds(segment_bytes=8 << 20, disk_bytes=1 << 30, entries=200_000)
 STOPPED, WRONG, LEFT = 0, 2, 3  # exit codes
 
 
@@ -39,6 +43,10 @@
     """What, where and what to do, in one line."""
 
 
+def bounds_of(chosen: QuorumChoice) -> Bounds:
+    return DISTRIBUTION_BOUNDS if chosen.distribution else BOUNDS
+
+
 def disk_of(chosen: QuorumChoice) -> Disk:
     assert chosen.directory is not None
     if chosen.disk == "held back":
@@ -51,7 +59,7 @@
 def found(chosen: QuorumChoice, rng: random.Random) -> Identity:
     """Makes a new group with this member as its only voter. Raises NotFoundedError, StoreError."""
     assert chosen.directory is not None and chosen.name is not None and chosen.listen is not None
-    engine = Engine.open(disk_of(chosen), unix_time, rng, BOUNDS, create=True)
+    engine = Engine.open(disk_of(chosen), unix_time, rng, bounds_of(chosen), create=True)
     try:
         if engine.get(IDENTITY) is not None or engine.get(TOP) is not None:
             raise NotFoundedError(
@@ -83,6 +91,13 @@
     }
 
 
+def distribution_parts() -> dict[str, Part]:
+    """Of a group for configuration: leases and renewals never travel with it."""
+    from lichencleat.distribution.source import Source  # other groups don't load it
+
+    return {"facts": Facts(), "distribution": Source()}
+
+
 class ExpiryTender:
     """What the leader says of candidates that are gone."""
 
@@ -121,7 +136,12 @@
         chosen = self.chosen
         try:
             store = yield open_store(
-                self.reactor, chosen.directory, unix_time, self.rng, BOUNDS, disk=disk_of(chosen)
+                self.reactor,
+                chosen.directory,
+                unix_time,
+                self.rng,
+                bounds_of(chosen),
+                disk=disk_of(chosen),
             )
         except StoreError as wrong:
             self.stop(WRONG, str(wrong))
@@ -130,6 +150,13 @@
             identity = wake_up(store.engine.get, self.rng, chosen.group, chosen.name)
             yield store.put(IDENTITY, msgspec.msgpack.encode(identity))
             listen = host_port(chosen.listen)
+            serves: Serves | None = None
+            own: tuple[Any, Any] = (parts, ExpiryTender().tend)
+            if chosen.distribution:
+                from lichencleat.distribution.voting import Voting
+
+                serves = Voting(self.reactor, identity.member, chosen.zone, self.log)
+                own = (distribution_parts, lambda state, now: [])
             self.process = Process(
                 self.reactor,
                 store,
@@ -137,10 +164,10 @@
                 listen,
                 self.log,
                 self.rng,
-                parts,
-                ExpiryTender().tend,
+                *own,
                 chosen.times.times(),
                 chosen.zone,
+                serves,
             )
         except (StoreError, CannotListenError) as wrong:
             yield store.close()
--- a/lichencleat/quorum/wire.py
+++ b/lichencleat/quorum/wire.py
@@ -62,9 +62,30 @@
     maybe: bool = False  # not done, and yet it may be done later
 
 
+class WhoItIs(msgspec.Struct, frozen=True, array_like=True):
+    """A request to add a member."""
+
+    seat: int
+    name: str
+    host: str
+    port: int
+    zone: str = ""
+    votes: bool = False
+
+
+class Proposal(msgspec.Struct, frozen=True, array_like=True):
+    session: int
+    number: int
+    data: bytes
+
+
 Frame = Greeting | Greeted | Carried | Request | Reply
 encode = msgspec.msgpack.encode
 decode_frame = msgspec.msgpack.Decoder(Frame).decode
+decode_who = msgspec.msgpack.Decoder(WhoItIs).decode
+decode_proposal = msgspec.msgpack.Decoder(Proposal).decode
+decode_read = msgspec.msgpack.Decoder(tuple[str, Any]).decode
+decode_seat = msgspec.msgpack.Decoder(int).decode
 
 
 def raw(content: Any) -> msgspec.Raw:
--- /dev/null
+++ b/tests/distribution/test_source.py
@@ -0,0 +1,338 @@
+"""The source: what makes a batch, what is refused, what is known of the past, and what a dump brings back."""
+
+import random
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from lichencleat.distribution import source as sources
+from lichencleat.distribution.source import Diff, Find, Publish, Published, Source, Stands
+from lichencleat.distribution.terms import BATCH_MOST, FIND, FOLLOW, IN_FORCE, Change, Follow, Say
+from lichencleat.distribution.voting import DOUBT, SILENCE, Fresh, Voting
+from lichencleat.quorum.serves import Guarded
+from lichencleat.quorum.state import State, command
+from lichencleat.quorum.terms import Entry, Group, Member, Snapshot, What
+from lichencleat.quorum.wire import Request, raw
+
+GROUP = Group((Member(1, "v1", "h", 1),))
+encode = msgspec.msgpack.encode
+
+
+def publish(source, index, *changes, only_if=None):
+    made = tuple(Change(kind, name, value) for kind, name, value in changes)
+    return source.apply(index, msgspec.Raw(encode(Publish(made, only_if))))
+
+
+def asked(source, query):
+    return source.read(msgspec.msgpack.decode(encode(query)))
+
+
+def found(source, name, at=0):
+    told = asked(source, Find("tenant", name, at))
+    return told.value if told.known else "not known"
+
+
+def copied(source, **bounds):
+    other = Source(**bounds)
+    other.load(msgspec.Raw(encode(source.dump())))
+    return other
+
+
+def drawn(rng, source, entries, begin=1):
+    """Entries of every kind that the part may be given, applied; the model of what must be in force."""
+    model = {(kind, name): value for kind, name, value in source.table.items()}
+    for index in range(begin, begin + entries):
+        names = {f"t{rng.randrange(60)}" for _ in range(rng.choice([0, 1, 1, 1, 5]))}
+        changes = [
+            ("tenant", name, rng.choice([None, b"a", b"b", rng.randbytes(400)])) for name in sorted(names)
+        ]
+        only_if = rng.choice([None, None, source.table.version, 3])
+        before = source.table.version
+        told = publish(source, index, *changes, only_if=only_if)
+        effective = [each for each in changes if model.get(each[:2]) != each[2]]
+        assert told.done is (bool(effective) and only_if in (None, before))
+        assert told.version == (index if told.done else before)
+        if told.done:
+            model.update({each[:2]: each[2] for each in effective})
+    return {key: value for key, value in model.items() if value is not None}
+
+
+def in_force(source):
+    return {(kind, name): value for kind, name, value in source.table.items()}
+
+
+def test_an_entry_makes_one_batch_of_its_index_over_the_one_before():
+    source = Source()
+    assert publish(source, 5, ("tenant", "a", b"1"), ("route", "a", b"2")) == Published(True, 5, 2)
+    assert publish(source, 9, ("tenant", "a", None), ("route", "a", b"2")) == Published(True, 9, 1)
+    first, second = (each.batch for each in source.window)
+    assert (first.version, first.past, second.version, second.past) == (5, 0, 9, 5)
+    assert second.changes == (Change("tenant", "a", None),)  # only what changed travels
+    assert second.digest == source.table.digest and in_force(source) == {("route", "a"): b"2"}
+    told = asked(source, Stands())
+    assert (told.version, told.since, told.records) == (9, 0, 1)
+
+
+@pytest.mark.parametrize(
+    ("changes", "why"),
+    [
+        ([], "a batch has 1 to"),
+        ([("tenant", "a", b"1")], "nothing would change"),
+        ([("tenant", "none", None)], "nothing would change"),
+        ([("tenant", "b", b"1"), ("tenant", "b", b"2")], "names each record at most once"),
+        ([("", "b", b"1")], "a kind has 1 to"),
+        ([("k" * 17, "b", b"1")], "a kind has 1 to"),
+        ([("tenant", "", b"1")], "a name has 1 to"),
+        ([("tenant", "é" * 65, b"1")], "a name has 1 to"),
+        ([("tenant", "b", bytes(5_000))], "a value has at most"),
+        ([("tenant", f"n{n}", b"1") for n in range(BATCH_MOST + 1)], "a batch has 1 to"),
+        ([("tenant", f"n{n}", bytes(4_000)) for n in range(40)], "a batch has at most"),
+    ],
+)
+def test_what_is_refused_changes_nothing_and_says_why(changes, why):
+    source = Source()
+    publish(source, 1, ("tenant", "a", b"1"))
+    before = encode(source.dump())
+    told = publish(source, 2, *changes)
+    assert not told.done and told.version == 1 and why in told.why
+    assert encode(source.dump()) == before
+
+
+def test_another_version_and_what_is_no_command_are_refused(monkeypatch):
+    source = Source()
+    publish(source, 1, ("tenant", "a", b"1"))
+    assert "another version" in publish(source, 2, ("tenant", "a", b"2"), only_if=0).why
+    for none in (b"\x01", encode(["publish", "x"]), encode(["drop", []])):
+        assert source.apply(3, msgspec.Raw(none)) == Published(False, 1, 0, "no command")
+    monkeypatch.setattr("lichencleat.distribution.table.RECORDS_MOST", 1)
+    assert "records" in publish(source, 4, ("tenant", "b", b"1")).why
+    assert found(source, "a") == b"1" and found(source, "b") is None
+    assert source.read(["none"]) is None
+
+
+def test_a_record_is_known_as_it_was_at_each_version_of_the_window():
+    rng, source, history = random.Random(4), Source(window_batches=40), {}
+    for index in range(1, 200):
+        drawn(rng, source, 1, index)
+        history[source.table.version] = {name: value for (_, name), value in in_force(source).items()}
+    since = asked(source, Stands()).since
+    assert since == sorted(history)[-41]
+    versions = [each for each in history if each >= since]
+    for version in versions:
+        for name in ("t1", "t2", "t30"):
+            assert found(source, name, version) == history[version].get(name)
+    assert found(source, "t1", since - 1) == found(source, "t1", 10_000) == "not known"
+    for a, b in [(versions[0], versions[-1]), (versions[-1], versions[5]), (versions[3], versions[3])]:
+        told = asked(source, Diff(a, b))
+        names = set(history[a]) | set(history[b])
+        changed = {
+            (n, history[a].get(n), history[b].get(n)) for n in names if history[a].get(n) != history[b].get(n)
+        }
+        assert told.known and not told.more and {each[1:] for each in told.records} == changed
+    assert not asked(source, Diff(since - 1, since)).known
+
+
+def test_a_difference_too_large_for_an_answer_is_told_in_parts(monkeypatch):
+    monkeypatch.setattr(sources, "DIFF_MOST", 3)
+    source = Source()
+    publish(source, 1, *(("tenant", f"t{n}", b"v") for n in range(8)))
+    first, last = asked(source, Diff(0, 1)), asked(source, Diff(0, 1, 6))
+    assert ([each[1] for each in first.records], first.more) == (["t0", "t1", "t2"], 5)
+    assert ([each[1] for each in last.records], last.more) == (["t6", "t7"], 0)
+
+
+def test_the_window_is_bounded_by_bytes_too_with_the_values_that_were_replaced():
+    source = Source(window_bytes=10_000)
+    for index in range(1, 30):
+        publish(source, index, ("tenant", "a", bytes([index]) * 1_000))
+    assert 0 < source.size <= 10_000 and len(source.window) == 4
+    assert asked(source, Stands()).since == 25
+
+
+def test_a_dump_brings_back_all_and_replay_makes_the_same_bytes():
+    def state():
+        return State({"distribution": Source(window_batches=30)})
+
+    rng, first, entries, copies = random.Random(8), state(), [], []
+    for index in range(1, 120):
+        if rng.random() < 0.1:
+            data = rng.randbytes(6)
+        else:
+            names = sorted({f"t{rng.randrange(400)}" for _ in range(rng.choice([1, 40]))})
+            made = tuple(Change("tenant", name, rng.choice([None, bytes(900), b"y"])) for name in names)
+            data = command("distribution", Publish(made))
+        entries.append(Entry(1, What.COMMAND, data))
+        first.apply(index, entries[-1])
+        if index % 40 == 0:
+            copies.append((index, first.dump()))
+            assert first.parts["distribution"].plain  # some pages go as they are: both forms are tried
+    for index, dumped in copies:
+        again = state()
+        again.restore(Snapshot(index, 1, GROUP, dumped))
+        for after, entry in enumerate(entries[index:], index + 1):
+            again.apply(after, entry)
+        assert again.dump() == first.dump()
+        assert again.parts["distribution"].table.digest == first.parts["distribution"].table.digest
+
+
+def test_a_spoilt_dump_is_not_taken_for_a_table():
+    source = Source()
+    drawn(random.Random(2), source, 80)
+    assert in_force(copied(source)) == in_force(source)
+    for spoil in (
+        lambda dumped: dumped.pages.reverse(),
+        lambda dumped: dumped.pages.__setitem__(next(n for n, each in enumerate(dumped.pages) if each), b"x"),
+        lambda dumped: dumped.pages.pop(),
+        lambda dumped: setattr(dumped, "digest", bytes(16)),
+        lambda dumped: dumped.window.append((True, b"x")),
+    ):
+        dumped = source.dump()
+        spoil(dumped)
+        with pytest.raises(msgspec.MsgspecError):
+            Source().load(msgspec.Raw(encode(dumped)))
+
+
+# -- a voter that serves -----------------------------------------------------------------------------------
+
+
+class Host:
+    """In place of `serving.Serving`: what the feeder was told, and asked at once."""
+
+    def __init__(self, reactor, feeder, now, log):
+        self.feeder, self.now, self.closed = feeder, now, False
+
+    def stir(self):
+        pass
+
+    def close(self):
+        self.closed = True
+
+
+class Seat:
+    """In place of the process."""
+
+    zone = "z1"
+
+    def __init__(self):
+        self.at, self.leads, self.proofs = 1_000_000_000, False, []
+
+    def now(self):
+        return self.at
+
+    def mark(self):
+        return b"mark"
+
+    def prove(self, told):
+        self.proofs.append(told)
+
+
+class Later:
+    def __init__(self):
+        self.calls = []
+
+    def callLater(self, delay, call):  # noqa: N802 (Twisted's)
+        self.calls.append(call)
+        return SimpleNamespace(active=lambda: call in self.calls, cancel=lambda: self.calls.remove(call))
+
+
+def serving(index=0, source=None):
+    member, later = Seat(), Later()
+    voting = Voting(later, "v1", "z1", None, Host)
+    voting.begins(member)
+    state = State({"distribution": source or Source()})
+    state.applied = index
+    voting.applied(state)
+    return voting, member, later, state
+
+
+def fed(voting, member, version, digest):
+    feeder = voting.feeder
+    feeder.joined(member.at, 1)
+    feeder.asked(member.at, 1, 1, FOLLOW, Follow(version, digest, (), 0))
+    decision = feeder.next_decision(member.at)
+    feeder.left(member.at, 1)
+    return decision.content
+
+
+def test_what_is_applied_is_fed_and_a_snapshot_takes_the_tables_place():
+    voting, member, _, state = serving()
+    nothing = state.parts["distribution"].table.digest
+    for index in (3, 4):
+        state.applied = index - 1
+        state.apply(index, Entry(1, What.COMMAND, command("distribution", one_change(b"%d" % index))))
+    voting.applied(state)  # two entries in one pull
+    told = fed(voting, member, 0, nothing)
+    assert told.say == Say.NEWS and [each.version for each in told.batches] == [3, 4]
+    later = Source()
+    publish(later, 20, ("tenant", "b", b"9"))
+    publish(later, 30, ("tenant", "c", b"9"))
+    restored = State({"distribution": copied(later)})
+    voting.applied(restored)
+    told = fed(voting, member, 20, later.window[0].batch.digest)
+    assert told.say == Say.NEWS and (told.version, told.digest) == (30, later.table.digest)
+    assert voting.feeder.table.find("tenant", "a") is None
+
+
+def one_change(value):
+    return Publish((Change("tenant", "a", value),))
+
+
+def test_a_leader_s_age_counts_from_before_it_asked_and_grows_while_nobody_answers():
+    voting, member, later, state = serving()
+    assert voting.feeder.in_force(member.at)["age_us"] == -1  # nothing is known before it was proved
+    member.at += 70_000
+    member.proofs.pop()(True)
+    assert voting.feeder.age(member.at) == 70_000
+    later.calls.pop()()
+    member.at += 500_000
+    assert voting.feeder.age(member.at) == 570_000
+    member.proofs.pop()(False)  # it leads no more
+    assert voting.feeder.age(member.at) == 570_000 and later.calls
+
+
+def test_a_follower_s_age_counts_from_the_last_word_whose_commit_it_has():
+    fresh, now = Fresh(), 10_000_000
+    fresh.word(now, 5, 5)
+    assert fresh.at is None  # the first words may be old ones
+    fresh.word(now + DOUBT, 5, 5)
+    assert fresh.at == now + DOUBT
+    fresh.word(now + DOUBT + 60_000, 8, 5)
+    fresh.word(now + DOUBT + 120_000, 9, 6)
+    fresh.applied(7)
+    assert fresh.at == now + DOUBT
+    fresh.applied(8)
+    assert fresh.at == now + DOUBT + 60_000
+    woken = now + DOUBT + 120_000 + SILENCE + 1
+    for buffered in range(40):  # words of the time when it was stopped
+        fresh.word(woken + buffered, 8, 8)
+    assert fresh.at == now + DOUBT + 60_000
+
+
+def test_before_it_takes_part_and_after_its_end_a_voter_answers_nothing():
+    voting = Voting(Later(), "v1", "z1", None, Host)
+    voting.begins(Seat())
+    replies = []
+    link = SimpleNamespace(reply=replies.append)
+    assert voting.wants(FOLLOW) and voting.wants(FIND) and voting.wants(IN_FORCE) and not voting.wants("read")
+    voting.asked(link, Request(4, FOLLOW, raw([0, b"", []])))
+    assert (replies[0].number, replies[0].done, replies[0].content) == (4, False, raw("nothing here"))
+    voting, member, later, _ = serving()
+    voting.ends()
+    assert voting.serving.closed
+    member.proofs.pop()(True)
+    assert not later.calls  # nor does it ask on
+
+
+def test_a_mistake_in_serving_ends_the_serving_and_not_the_voter():
+    told = []
+    log = SimpleNamespace(warning=lambda event, **fields: told.append((event, fields)))
+    voting, *_ = serving()
+    guarded = Guarded(voting, log)
+    guarded.tell(lambda serves: serves.word(0))
+    assert guarded.wants(FOLLOW) and not told
+    guarded.tell(lambda serves: 1 // 0)
+    assert not guarded.wants(FOLLOW) and voting.ended and "ZeroDivisionError" in told[0][1]["trace"]
+    guarded.tell(lambda serves: 1 // 0)
+    guarded.end()
+    assert len(told) == 1
