Distribution: relays as processes, the host of a subscriber, the commands run and status

A Subscriber above and a Serving below round one table; who is of another group, silent or asks out of turn ends at its link, counted.

--- a/lichencleat/cli/quorum.py
+++ b/lichencleat/cli/quorum.py
@@ -97,14 +97,14 @@
 
 
 @inlineCallbacks
-def ask_all(reactor: Any, quorum: QuorumChoice, addresses: list[str]) -> Any:
-    """The status of each member that answers."""
+def ask_all(reactor: Any, quorum: QuorumChoice, addresses: list[str], what: str = "status") -> Any:
+    """What each member answers, or why it does not."""
     found: dict[str, Any] = {}
     clients = {
         each: Client(reactor, quorum.group, [host_port(each)], random.Random(os.urandom(16)))
         for each in addresses
     }
-    asked = {each: client.call("status", None, 2.0) for each, client in clients.items()}
+    asked = {each: client.call(what, None, 2.0) for each, client in clients.items()}
     for address, answer in asked.items():
         try:
             found[address] = yield answer
--- /dev/null
+++ b/lichencleat/distribution/program.py
@@ -0,0 +1,114 @@
+"""`lichencleat distribution run`: one relay from its file, with its disk, signals and exit code."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+from typing import Any
+
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.error import CannotListenError
+from twisted.logger import globalLogBeginner
+
+from lichencleat.clocks import make_reactor, unix_time
+from lichencleat.distribution.file import RelayChoice
+from lichencleat.distribution.relay import RelayProcess
+from lichencleat.distribution.table import Table
+from lichencleat.logs.lines import make_log
+from lichencleat.store.errors import StoreError
+
+STOPPED, WRONG = 0, 2  # exit codes
+
+
+class Running:
+    """Brings a relay up on the reactor, and down at a signal."""
+
+    def __init__(self, reactor: Any, chosen: RelayChoice) -> None:
+        self.reactor, self.chosen = reactor, chosen
+        self.rng = random.Random(os.urandom(16))
+        self.code = STOPPED
+        self.relay: RelayProcess | None = None
+        self.stopping = False
+        self.log = make_log(
+            unix_time,
+            chosen.log.form,
+            process=chosen.name,
+            role="relay",
+            group=chosen.group,
+            pid=os.getpid(),
+        )
+
+    @inlineCallbacks
+    def start(self) -> Any:
+        chosen, kept = self.chosen, None
+        table, mark, recent = Table(), b"", []
+        if chosen.directory is not None:
+            from lichencleat.distribution.kept import open_kept  # off means not imported: memory counts
+
+            try:
+                kept = yield open_kept(
+                    self.reactor, chosen.directory, unix_time, self.rng, disk=disk_of(chosen)
+                )
+                table, mark, recent = yield kept.load()
+                if kept.trouble:
+                    self.log.warning("disk", trouble=kept.trouble)
+            except (StoreError, OSError) as wrong:  # it goes on without: what it lacks comes from above
+                self.log.warning("disk", trouble=str(wrong), goes_on="without")
+        if self.stopping:
+            yield kept.close() if kept is not None else None
+            self.stop(STOPPED)
+            return
+        try:
+            self.relay = RelayProcess(self.reactor, chosen, self.log, self.rng, table, mark, recent, kept)
+        except CannotListenError as wrong:
+            if kept is not None:
+                yield kept.close()
+            self.stop(WRONG, str(wrong))
+            return
+        self.log.info("started", listen=chosen.listen, version=table.version, records=table.records)
+        self.relay.start()
+
+    def told_to_leave(self) -> None:
+        if self.stopping:
+            return
+        self.stopping = True
+        if self.relay is not None:
+            self.relay.stop().addBoth(lambda _: self.stop(STOPPED))
+
+    def stop(self, code: int, reason: str = "") -> None:
+        self.code = code
+        if reason:
+            self.log.warning("can't start", reason=reason)
+        else:
+            counters = self.relay.counters() if self.relay is not None else {}
+            self.log.info("stopped", code=code, **{name.replace(" ", "_"): n for name, n in counters.items()})
+        self.reactor.callLater(0, self.reactor.stop)
+
+
+def disk_of(chosen: RelayChoice) -> Any:
+    """None: the directory itself."""
+    if chosen.disk == "held back":
+        from lichencleat.lab.rig.heldback import HeldBackDisk  # for tests: not imported otherwise
+
+        return HeldBackDisk(chosen.directory, create=True)
+    return None
+
+
+def run(chosen: RelayChoice) -> int:
+    """The exit code: 0 told to leave, 2 could not start."""
+    reactor = make_reactor()
+    relay = Running(reactor, chosen)
+
+    def tell(event: dict[str, Any]) -> None:
+        """Errors that reach Twisted are lines like all others."""
+        failure = event.get("log_failure")
+        if failure is not None:
+            relay.log.warning("error", trace=failure.getBriefTraceback().replace("\n", " | "))
+
+    globalLogBeginner.beginLoggingTo([tell], redirectStandardIO=False, discardBuffer=True)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(relay.told_to_leave))
+    reactor.callWhenRunning(relay.start)
+    reactor.run(installSignalHandlers=False)
+    return relay.code
--- /dev/null
+++ b/lichencleat/net/tenants.py
@@ -0,0 +1,146 @@
+"""A node that is told the fleet's configuration: a subscriber of its zone's relays, and what is used of it.
+
+Puts together what `distribution/` makes; decides nothing. Imported only where the operators' file names a
+distribution. What the node uses is which tenants there are.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred, inlineCallbacks, succeed
+
+from lichencleat.distribution.copy import TableCopy
+from lichencleat.distribution.follow import Follower
+from lichencleat.distribution.kept import Kept, open_kept
+from lichencleat.distribution.subscriber import Subscriber
+from lichencleat.distribution.table import Table
+from lichencleat.distribution.terms import Batch
+from lichencleat.store.errors import StoreError
+
+TENANT = "tenant"  # a record's kind; its name is what a request bears
+SECOND = 1_000_000  # µs
+
+
+class Tenants:
+    """Which tenants there are: the settings' word until a version is in force, then the table's alone.
+
+    Stands where the settings' own list stood: a request of one that is not in it is refused.
+    """
+
+    def __init__(self, settings: frozenset[bytes]) -> None:
+        self.settings = settings
+        self.table: Table | None = None
+
+    def __bool__(self) -> bool:
+        """False: a site without tenants, where any request is taken."""
+        return bool(self.settings) or (self.table is not None and self.table.version > 0)
+
+    def __contains__(self, tenant: bytes) -> bool:
+        if self.table is None or not self.table.version:
+            return tenant in self.settings
+        try:
+            name = tenant.decode()
+        except ValueError:
+            return False
+        return self.table.find(TENANT, name) is not None
+
+
+class Distributed:
+    """Owns the links to relays and what is kept on the disk; given back in `stop`."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        chosen: Any,
+        settings: frozenset[bytes],
+        unix: Callable[[], int],
+        rng: random.Random,
+        report: Any,
+    ) -> None:
+        """`chosen`: as chosen.file.DistributionChoice; `settings`: the tenants that the node's settings name;
+        `unix`: µs; `report`: as net.report.Report.
+        """
+        self.reactor, self.name, self.chosen, self.unix, self.rng = reactor, name, chosen, unix, rng
+        self.report, self.log = report, report.events()
+        self.tenants = Tenants(settings)
+        self.kept: Kept | None = None
+        self.mark = b""
+        self.subscriber: Subscriber | None = None
+        self.stopped = False
+
+    @inlineCallbacks
+    def start(self) -> Any:
+        """What is on the disk is in force once it is checked; where none is whole, nothing is."""
+        table, recent = Table(), []
+        if self.chosen.directory is not None:
+            try:
+                self.kept = yield open_kept(self.reactor, self.chosen.directory, self.unix, self.rng)
+                table, self.mark, recent = yield self.kept.load()
+                if self.kept.trouble:
+                    self.disk_trouble(self.kept.trouble)
+            except (StoreError, OSError) as wrong:
+                self.disk_trouble(str(wrong))
+        if not self.stopped:
+            self.follow(table)
+
+    def disk_trouble(self, what: str) -> None:
+        """It goes on without: what it lacks comes from a relay."""
+        self.report.count("distribution", "troubles of the disk")
+        self.log.warning("distribution", disk=what)
+
+    def follow(self, table: Table) -> None:
+        copy = TableCopy(table, self.mark)
+        if self.chosen.tenants:
+            self.tenants.table = table
+        now = int(self.reactor.seconds() * SECOND)
+        tiers = tuple(map(tuple, self.chosen.sources))
+        follower = Follower(tiers, copy, self.rng, now, True, self.chosen.zone)
+        self.subscriber = Subscriber(
+            self.reactor,
+            self.chosen.group,
+            self.name,
+            follower,
+            copy,
+            self.rng,
+            self.log,
+            on_taken=self.taken,
+            on_told=self.told,
+        )
+        self.subscriber.start()
+
+    def taken(self, batches: tuple[Batch, ...]) -> None:
+        if self.kept is None or self.subscriber is None:
+            return
+        table = self.subscriber.copy.table
+        if batches:
+            self.kept.wrote(table, batches)
+        else:
+            self.kept.replaced(table)
+
+    def told(self) -> None:
+        """The group's mark is known with the first version."""
+        if self.subscriber is not None and self.subscriber.copy.mark != self.mark:
+            self.mark = self.subscriber.copy.mark
+            if self.kept is not None:
+                self.kept.mark(self.mark)
+
+    def stop(self) -> Deferred[None]:
+        """Fires once the disk has what it was given."""
+        self.stopped = True
+        self.tell_counts()
+        if self.subscriber is not None:
+            self.subscriber.stop()
+        return self.kept.close() if self.kept is not None else succeed(None)
+
+    def tell_counts(self) -> None:
+        if self.subscriber is not None:
+            for what, number in self.subscriber.counters().items():
+                self.report.counts[f"distribution {what}"] = number
+
+    def beliefs(self) -> str:
+        self.tell_counts()
+        return self.subscriber.beliefs() if self.subscriber is not None else "reads its disk"
--- /dev/null
+++ b/tests/distribution/test_subscriber.py
@@ -0,0 +1,313 @@
+"""A subscriber and relays, as hosts on links in memory: what is taken, what ends a link, what is left."""
+
+import random
+
+import msgspec
+import pytest
+from twisted.internet.testing import MemoryReactorClock
+from twisted.test.iosim import FakeTransport, connect
+
+from lichencleat.distribution.copy import TableCopy
+from lichencleat.distribution.errors import SpoiltError
+from lichencleat.distribution.file import RelayChoice
+from lichencleat.distribution.follow import Follower
+from lichencleat.distribution.relay import SWEEP, RelayProcess
+from lichencleat.distribution.subscriber import CALL, Subscriber
+from lichencleat.distribution.table import Table
+from lichencleat.distribution.terms import FOLLOW, Change, Fed, Follow, Say
+from lichencleat.quorum.seats import Life
+from lichencleat.quorum.wire import FORMAT, Greeting, Reply, Request, raw
+
+SECOND = 1_000_000
+MARK = b"mark-one"
+STEP = 0.01  # s that the clock is moved on at once
+
+
+class Net(MemoryReactorClock):
+    """Links in memory; a port that is silent takes a connection and delivers nothing."""
+
+    def __init__(self):
+        super().__init__()
+        self.pumps, self.silent, self.taken_by = [], set(), {}
+
+    def link(self):
+        waiting, self.tcpClients[:] = list(self.tcpClients), []
+        for _, port, factory, *_ in waiting:
+            server = next((each for at, each, *_ in self.tcpServers if at == port), None)
+            if server is None:
+                factory.clientConnectionFailed(None, None)
+                continue
+            one, other = factory.buildProtocol(None), server.buildProtocol(None)
+            ends = FakeTransport(other, True), FakeTransport(one, False)
+            self.pumps.append((port, connect(other, ends[0], one, ends[1], greet=False)))
+
+    def run(self, seconds, until=None):
+        """Moves on until `until`, or so long."""
+        for _ in range(round(seconds / STEP)):
+            self.advance(STEP)
+            self.link()
+            for port, pump in self.pumps:
+                if port not in self.silent:
+                    pump.flush(advanceClock=False)
+            if until is not None and until():
+                return True
+        return until is None
+
+
+class Log:
+    def __init__(self):
+        self.events = []
+
+    def info(self, event, **fields):
+        self.events.append(event)
+
+    warning = info
+
+
+class Place:
+    """A net with what runs on it; a source is a relay that is told what to have."""
+
+    def __init__(self):
+        self.net, self.parts, self.log = Net(), [], Log()
+
+    def relay(self, port, *tiers, mark=b"", table=None):
+        sources = [[f"10.0.0.1:{each}" for each in tier] for tier in tiers]
+        chosen = RelayChoice("config", f"r{port}", f"10.0.0.1:{port}", sources, "north")
+        made = RelayProcess(self.net, chosen, self.log, random.Random(port), table or Table(), mark)
+        self.parts.append(made)
+        made.start()
+        return made
+
+    def source(self, port, mark=MARK):
+        made = self.relay(port, [1], mark=mark)
+        made.follower.age = lambda now: 0
+        made.feeder.known(made.now(), 0)
+        made.follower.known_at = 0
+        return made
+
+    def publish(self, source, version, *names, value=b"{}"):
+        batch = source.table.apply(version, [Change("tenant", each, value) for each in names])
+        source.taken((batch,))
+
+    def node(self, *tiers, copy=None, seed=1):
+        copy = copy or TableCopy()
+        relays = tuple(tuple(f"10.0.0.1:{each}" for each in tier) for tier in tiers)
+        follower = Follower(relays, copy, random.Random(seed), 0, True, "north-a")
+        made = Subscriber(
+            self.net, "config", "n1", follower, copy, random.Random(seed), self.log, on_taken=self.took
+        )
+        made.start()
+        self.parts.append(made)
+        return made
+
+    taken = ()
+
+    def took(self, batches):
+        self.taken += (batches,)
+
+
+@pytest.fixture
+def place():
+    return Place()
+
+
+def test_what_is_published_goes_through_two_tiers_and_counts_come_up(place):
+    top = place.source(7901)
+    place.publish(top, 3, "acme", "other")
+    region, zone = place.relay(7921, [7901]), place.relay(7931, [7921], [7901])
+    node = place.node([7931])
+    assert place.net.run(10, lambda: node.copy.version == 3)
+    place.publish(top, 9, "third")
+    assert place.net.run(0.2, lambda: node.copy.version == 9)  # held questions are answered at once
+    assert node.copy.find("tenant", "third") == b"{}"
+    assert {each.table.digest for each in (top, region, zone)} == {node.copy.digest}
+    assert [[each.version for each in one] for one in place.taken] == [[3], [9]]
+    assert place.net.run(5, lambda: [each.lowest for each in top.feeder.counts(top.now())] == [9])
+    assert [(each.zone, each.nodes, each.by) for each in top.feeder.counts(top.now())] == [
+        ("north-a", 1, "r7931")
+    ]
+    assert node.copy.mark == zone.copy.mark == MARK
+    assert node.beliefs().startswith("version 9, age ") and node.beliefs().endswith("relay 10.0.0.1:7931")
+
+
+def test_a_snapshot_is_taken_whole_one_slice_a_turn(place):
+    top = place.source(7901)
+    for version in range(1, 41):
+        place.publish(top, version, *(f"t{version}-{n}" for n in range(100)), value=b"x" * 100)
+    node, steps = place.node([7901]), []
+    step = node.copy.step
+    node.copy.step = lambda: (steps.append((place.net.seconds(), node.copy.version)), step())[1]
+    assert place.net.run(30, lambda: node.copy.version)
+    assert place.taken == ((),) and node.copy.version == 40 and node.copy.digest == top.table.digest
+    assert {version for _, version in steps} == {0} and len(steps) > 1000
+    place.publish(top, 41, "more")
+    assert place.net.run(1, lambda: node.copy.version == 41)
+
+
+def test_a_lost_relay_is_left_for_the_next_and_one_that_says_nothing_too(place):
+    top = place.source(7901)
+    place.publish(top, 3, "acme")
+    for each in (7931, 7932):
+        place.relay(each, [7901])
+    node = place.node([7931, 7932], [7901])
+    assert place.net.run(10, lambda: node.copy.version == 3)
+    first = node.follower.relay
+    place.net.silent.add(int(first[-4:]))
+    assert place.net.run(3, lambda: node.follower.relay not in (None, first))
+    second = node.follower.relay
+    place.net.silent.add(int(second[-4:]))
+    assert place.net.run(6, lambda: node.follower.relay == "10.0.0.1:7901")
+    assert len(node.ways) <= 2 and node.copy.version == 3
+
+
+def test_a_relay_of_another_group_is_not_followed(place):
+    other, top = place.source(7901, b"mark-two"), place.source(7902)
+    place.publish(other, 50, "wrong")
+    place.publish(top, 3, "acme")
+    node = place.node([7901], [7902], copy=TableCopy(Table(), MARK))
+    assert place.net.run(10, lambda: node.copy.version)
+    assert node.copy.version == 3 and node.copy.find("tenant", "wrong") is None
+    assert node.counts["turned away"] == 1 and other.counts["turned away"] == 1
+
+
+def test_a_relay_that_learns_its_group_has_its_callers_come_again(place):
+    zone = place.relay(7931, [7901])
+    node = place.node([7931])
+    assert place.net.run(10, lambda: node.follower.relay)
+    assert node.follower.mark == b""
+    top = place.source(7901)
+    place.publish(top, 3, "acme")
+    assert place.net.run(30, lambda: node.copy.version == 3)
+    assert zone.mark == node.copy.mark == MARK
+
+
+def answers(place, port, answer):
+    """A source whose answers are these."""
+    made = place.source(port)
+    made.asked = lambda link, request: link.reply(answer(request))
+    return made
+
+
+@pytest.mark.parametrize(
+    ("wrong", "counted"),
+    [
+        (lambda number: msgspec.Raw(b"\xff"), "answers that can't be read"),
+        (lambda number: raw("no"), "answers that can't be read"),
+        (lambda number: raw(Fed(9, 1, b"", 0)), "unfit answers"),
+        (lambda number: raw(Fed(Say.NEWS, 1, b"", 0)), "unfit answers"),
+    ],
+)
+def test_an_answer_that_is_none_ends_that_link_counted_and_another_is_asked(place, wrong, counted):
+    answers(place, 7901, lambda request: Reply(request.number, True, wrong(request.number)))
+    top = place.source(7902)
+    place.publish(top, 3, "acme")
+    node = place.node([7901], [7902])
+    assert place.net.run(10, lambda: node.copy.version == 3)
+    assert node.counters()[counted] == 1 and node.follower.relay == "10.0.0.1:7902"
+
+
+def test_an_answer_to_no_question_ends_the_link(place):
+    answers(place, 7901, lambda request: Reply(request.number + 1, True, raw(None)))
+    node = place.node([7901])
+    assert place.net.run(3, lambda: node.counts.get("frames out of place"))
+
+
+def test_who_takes_a_connection_and_says_nothing_is_left_in_time(place):
+    place.source(7901)
+    place.net.silent.add(7901)
+    top = place.source(7902)
+    place.publish(top, 3, "acme")
+    node = place.node([7901], [7902])
+    assert place.net.run(CALL + 3, lambda: node.copy.version == 3)
+
+
+def test_spoilt_slices_are_not_taken_and_an_error_in_one_ends_nothing(place):
+    top = place.source(7901)
+    place.publish(top, 3, "acme")
+    node = place.node([7901])
+    wrong, right = [SpoiltError("digest"), ZeroDivisionError()], node.copy.step
+
+    def step():
+        if wrong:
+            raise wrong.pop(0)
+        return right()
+
+    node.copy.step = step
+    assert place.net.run(200, lambda: node.copy.version == 3)
+    assert node.counters()["spoilt"] == 2 and node.counts["errors"] == 1
+    assert "spoilt" in place.log.events
+
+
+def test_what_stops_gives_back_its_links_and_timers(place):
+    top = place.source(7901)
+    place.publish(top, 3, "acme")
+    zone = place.relay(7931, [7901])
+    node = place.node([7931])
+    assert place.net.run(10, lambda: node.copy.version == 3)
+    done = []
+    node.stop()
+    zone.stop().addCallback(done.append)
+    zone.stop().addCallback(done.append)
+    place.net.run(0.1)
+    assert done == [None, None] and not node.ways and not zone.door.links
+    top.stop()
+    assert not place.net.getDelayedCalls()
+
+
+def caller(place, port):
+    """A link by hand to that relay."""
+    _, factory, *_ = next(each for each in place.net.tcpServers if each[0] == port)
+    made = factory.buildProtocol(None)
+    made.makeConnection(FakeTransport(made, True))
+    sent = made.sent = []
+    made.send = lambda frame: sent.append(frame) or True
+    return made
+
+
+def test_the_door_turns_away_what_is_no_subscriber(place):
+    relay = place.relay(7931, [1], mark=MARK)
+    hello = Greeting(FORMAT, b"", "config", 0, 0, Life(0, 0), "n1")
+    for wrong in (
+        msgspec.structs.replace(hello, name="other"),
+        msgspec.structs.replace(hello, seat=4),
+        msgspec.structs.replace(hello, format=FORMAT + 1),
+        msgspec.structs.replace(hello, group=b"mark-two"),
+    ):
+        link = caller(place, 7931)
+        relay.called(link, wrong)
+        assert not link.welcome and link.transport.disconnecting
+    assert relay.counts["turned away"] == 4
+    link = caller(place, 7931)
+    relay.called(link, hello)
+    assert link.welcome and link.sent[-1].group == MARK
+    link.requests = 1
+    relay.asked(link, Request(5, "propose", raw(None)))
+    assert [(each.number, each.done) for each in link.sent[1:]] == [(5, False)]
+
+
+def test_who_calls_and_says_nothing_is_ended(place):
+    relay = place.relay(7931, [1], mark=MARK)
+    silent, greeted = caller(place, 7931), caller(place, 7931)
+    greeted.greeting = Greeting(FORMAT, b"", "config", 0, 0, Life(0, 0), "n1")
+    place.net.run(SWEEP + 0.1)
+    assert not silent.transport.disconnecting
+    place.net.run(SWEEP)
+    assert silent.transport.disconnecting and not greeted.transport.disconnecting
+    assert relay.counters()["silent callers"] == 1
+
+
+def test_a_start_from_the_disk_feeds_those_behind_and_its_age_is_unknown(place):
+    table = Table()
+    batches = [table.apply(n, [Change("tenant", f"t{n}", b"{}")]) for n in range(1, 6)]
+    past = Table()
+    for each in batches[:3]:
+        past.apply(each.version, each.changes)
+    relay = place.relay(7931, [1], mark=MARK, table=table)
+    assert relay.feeder.in_force(0)["age_us"] == -1
+    chosen = msgspec.structs.replace(relay.chosen, listen="10.0.0.1:7932")
+    relay = RelayProcess(place.net, chosen, place.log, random.Random(1), table, MARK, batches)
+    assert len(relay.feeder.window) == 4
+    relay.feeder.joined(0, 1)
+    relay.feeder.asked(0, 1, 1, FOLLOW, Follow(3, past.digest, ()))
+    told = relay.feeder.next_decision(0).content
+    assert [each.version for each in told.batches] == [4, 5]
