--- /dev/null
+++ b/benchmarks/capacity/group.py
@@ -0,0 +1,202 @@
+"""A group of voters by its learners, in process; and the leader of a real one by the writes, on sockets.
+
+In process the real decisions and codec run with messages that arrive at once and disks that write at once:
+what is counted is what one member computes. Sockets and disks are in the second measurement, with three
+voters alone.
+"""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from collections import deque
+from pathlib import Path
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from benchmarks.capacity import Effort, Lines, cpu_of
+from benchmarks.capacity.members import Timed
+from lichencleat.capacity.slopes import Line
+from lichencleat.lab.rig.relay import LOCAL
+from lichencleat.lab.rig.rig import Rig
+from lichencleat.quorum.client import Client
+from lichencleat.quorum.entries import encode_group
+from lichencleat.quorum.facts import Facts, Set
+from lichencleat.quorum.member import Role
+from lichencleat.quorum.state import State, command, founded
+from lichencleat.quorum.terms import Act, Durable, Group, Member, Message, Times
+from lichencleat.quorum.voter import Voter
+from lichencleat.quorum.wire import Carried, decode_frame, encode
+
+VOTERS = 3
+VALUE = b"v" * 100  # bytes of a write: as a renewal has
+ADDRESS = "192.0.2.100"
+MARK = b"m" * 16
+
+
+def listed(count: int) -> Group:
+    """Voters and learners, with names and addresses as long as real ones."""
+    return Group(
+        tuple(
+            Member(1 << 40 | seat, f"node-{seat:05d}", ADDRESS, 7_000, seat < VOTERS, f"zone-{seat % 17:02d}")
+            for seat in range(count)
+        )
+    )
+
+
+class Together:
+    """All members of one group; each one's computing is timed, the leader's apart."""
+
+    def __init__(self, learners: int, seed: int) -> None:
+        self.now = 0
+        group = listed(VOTERS + learners)
+        self.timed = {True: Timed(), False: Timed()}  # of the leader; of all others
+        self.voters = {}
+        self.states = {}
+        for each in group.members:
+            durable = Durable(1, 0, founded(group))
+            rng = random.Random(seed * 10_000 + each.seat)
+            self.voters[each.seat] = Voter(each.seat, durable, Times(), rng, 0)
+            self.states[each.seat] = State({"facts": Facts()})
+        self.wire: deque[bytes] = deque()
+        self.sent = 0  # bytes
+        self.lead = min(each.seat for each in group.members)
+        self.pull(self.lead)
+        while self.voters[self.lead].role is not Role.LEADER:
+            self.now += 1_000_000
+            self.voters[self.lead].wakes(self.now)
+            self.settle()
+
+    def settle(self) -> None:
+        self.pull(self.lead)
+        while self.wire:
+            data = self.wire.popleft()
+            seat = decode_frame(data).message.to  # whose it is; not counted
+            self.timed[seat == self.lead].call(self.hears, seat, data)
+            self.pull(seat)
+
+    def hears(self, seat: int, data: bytes) -> None:
+        self.voters[seat].hears(self.now, decode_frame(data).message)
+
+    def pull(self, seat: int) -> None:
+        timed, voter = self.timed[seat == self.lead], self.voters[seat]
+        while (decision := timed.call(voter.next_decision)) is not None:
+            if decision.act is Act.SAVE:
+                timed.call(voter.saved, self.now, decision.save.number)
+            elif decision.act is Act.SEND:
+                data = timed.call(self.carried, decision.message)
+                self.sent += len(data)
+                self.wire.append(data)
+            elif decision.act is Act.RESTORE:
+                self.states[seat].restore(decision.snapshot)
+            elif decision.act is Act.APPLY:
+                timed.call(self.states[seat].apply, decision.index, decision.entry)
+
+    @staticmethod
+    def carried(message: Message) -> bytes:
+        return encode(Carried(MARK, message))
+
+    def write(self, number: int) -> None:
+        what = command("facts", Set(f"f{number % 50}", VALUE))
+        self.timed[True].call(self.voters[self.lead].propose, self.now, number, what)
+        self.settle()
+
+    def beat(self) -> None:
+        voter = self.voters[self.lead]
+        self.now = voter.deadline()
+        self.timed[True].call(voter.wakes, self.now)
+        self.settle()
+
+
+def learners(effort: Effort) -> list[Line]:
+    lines = Lines("learners")
+    lines.kind("voter.write_us", "learners", "µs a write", "at the leader, without sockets and disk")
+    lines.kind("voter.write_bytes", "learners", "bytes a write", "of all members, both ways")
+    lines.kind("voter.calm_core", "learners", "of a core", "at the leader, when nothing is written")
+    lines.kind("learner.write_us", "learners", "µs a write", "at one member that follows")
+    for number in range(effort.runs(3)):
+        for count in effort.sizes((10, 50, 100, 200, 350, 500), (2, 4, 6, 8)):
+            group = Together(count, effort.seed + number)
+            for at in range(5):
+                group.write(at)
+            writes = 5 if effort.quick else 40
+            for each in group.timed.values():
+                each.take()
+            group.sent = 0
+            for at in range(writes):
+                group.write(at)
+            lines.add("voter.write_us", count, group.timed[True].take() / writes * 1e6)
+            others = count + VOTERS - 1
+            lines.add("learner.write_us", count, group.timed[False].take() / writes / others * 1e6)
+            lines.add("voter.write_bytes", count, group.sent / writes)
+            begun = group.now
+            for _ in range(16):
+                group.beat()
+            lines.add("voter.calm_core", count, group.timed[True].take() / ((group.now - begun) / 1e6))
+    return lines.made()
+
+
+def changes(effort: Effort) -> list[Line]:
+    lines = Lines("group changes")
+    lines.kind("voter.change_bytes", "members", "bytes", "of one entry that adds or removes a member")
+    for count in effort.sizes((8, 50, 100, 200, 350, 512), (8, 16, 24, 32)):
+        lines.add("voter.change_bytes", count, len(encode_group(listed(count))))
+    return lines.made()
+
+
+def writes(effort: Effort) -> list[Line]:
+    """The leader of three real voters, under writes at a steady rate from one client."""
+    lines = Lines("writes")
+    lines.kind("voter.writes_core", "writes a second", "of a core", "the leader's process, disk and sockets")
+    lines.kind("voter.writes_p99_ms", "writes a second", "ms", "at the client")
+    for _ in range(effort.runs(3)):
+        with tempfile.TemporaryDirectory() as folder:
+            rig = Rig(Path(folder), disk="real")
+            try:
+                rig.form()
+                for rate in effort.sizes((50, 100, 200, 400, 800), (10, 20, 30, 40)):
+                    core, p99 = written(rig, rate, effort.seconds(5.0))
+                    lines.add("voter.writes_core", rate, core)
+                    lines.add("voter.writes_p99_ms", rate, p99)
+            finally:
+                rig.close()
+    return lines.made()
+
+
+def written(rig: Rig, rate: int, seconds: float) -> tuple[float, float]:
+    """Share of a core of the leader, ms of the slowest in a hundred."""
+    leader = rig.leader()
+    assert leader is not None and leader.running is not None
+    reactor = rig.relays.reactor
+    addresses = [(LOCAL, each.port) for each in rig.voters.values()]
+    took: list[float] = []
+    state = {"sent": 0}
+
+    def load() -> Deferred[None]:
+        client = Client(reactor, "rig", addresses, random.Random(1))
+        begun = time.monotonic()
+
+        def more() -> None:
+            due = min(int((time.monotonic() - begun) * rate), int(seconds * rate))
+            while state["sent"] < due:
+                at = time.monotonic()
+                what = ["set", f"f{state['sent'] % 50}", VALUE, None]
+                state["sent"] += 1
+                told = client.propose("facts", what, 10.0)
+                told.addCallback(lambda _, at=at: took.append(time.monotonic() - at))
+            if time.monotonic() - begun > seconds + 0.3:
+                ticks.stop()
+
+        ticks = LoopingCall(more)
+        ticks.clock = reactor
+        done = client.call("open")
+        done.addCallback(lambda _: ticks.start(0.005))
+        return done.addBoth(lambda _: client.close())
+
+    cpu, at = cpu_of(leader.running.pid), time.monotonic()
+    rig.relays.call(load)
+    used = (cpu_of(leader.running.pid) - cpu) / (time.monotonic() - at)
+    assert len(took) > 0.9 * state["sent"], f"{len(took)} of {state['sent']} writes were answered"
+    return used, sorted(took)[int(len(took) * 0.99)] * 1e3
--- /dev/null
+++ b/benchmarks/capacity/members.py
@@ -0,0 +1,138 @@
+"""A member of the gossip, by the members: the real decisions and codec in simulated time, each call timed.
+
+What the simulation itself costs is not counted, and neither are the sockets: a real process has some 30 to
+50 µs more for each datagram. All know each other from the start, so that only the calm is measured.
+"""
+
+from __future__ import annotations
+
+import gc
+import time
+import tracemalloc
+from typing import Any
+
+import msgspec
+
+from benchmarks.capacity import SECOND, Effort, Lines
+from lichencleat.capacity.slopes import Line
+from lichencleat.lab.sim.members import MembersWorld, SimInstance
+from lichencleat.members.gossip import Send
+from lichencleat.members.table import Table
+from lichencleat.members.terms import Datagram
+
+WARM, SPAN = 3, 10  # simulated seconds before, and measured
+decode = msgspec.msgpack.Decoder(Datagram).decode
+clock = time.perf_counter_ns
+
+
+class Timed:
+    """Counts what the members' own calls take; one call of the clock is taken off each."""
+
+    def __init__(self) -> None:
+        self.spent = self.calls = 0
+        begun = clock()
+        for _ in range(10_000):
+            clock()
+        self.own = (clock() - begun) / 10_000
+
+    def call(self, done: Any, *args: Any) -> Any:
+        begun = clock()
+        answer = done(*args)
+        self.spent += clock() - begun
+        self.calls += 1
+        return answer
+
+    def take(self) -> float:
+        """Seconds since the last time."""
+        found = (self.spent - self.calls * self.own) / 1e9
+        self.spent = self.calls = 0
+        return found
+
+
+class TimedInstance(SimInstance):
+    """As `members.port` does it: datagrams are encoded and decoded, within what is timed."""
+
+    timed: Timed
+
+    def hears(self, sender: int, datagram: bytes) -> None:  # type: ignore[override]
+        if self.up:
+            now = self.clock()
+            self.timed.call(lambda: self.gossip.hears(now, "h", sender, decode(datagram)))
+            self.pull()
+
+    def wake(self, life: int) -> None:
+        if self.up and self.life == life:
+            self.timed.call(self.gossip.wakes, self.clock())
+            self.pull()
+
+    def pull(self) -> None:
+        while (decision := self.timed.call(self.gossip.next_decision)) is not None:
+            if isinstance(decision, Send):
+                self.send(decision)
+            else:
+                self.world.changed(self, decision.word)
+        if self.timer is not None:
+            self.timer.cancel()
+        span = self.clock.until(self.timed.call(self.gossip.deadline))
+        self.timer = self.world.clockwork.after(span, self.wake, self.life)
+
+    def send(self, send: Send) -> None:
+        world = self.world
+        data = self.timed.call(msgspec.msgpack.encode, send.datagram)
+        world.counts["datagrams"] += 1
+        world.counts["bytes"] += len(data)
+        if send.port < len(world.instances):
+            to = world.instances[send.port]
+            world.network.send(self.number, send.port, to.hears, self.number, data)
+
+
+def together(count: int, seed: int, timed: Timed) -> MembersWorld:
+    """A world in which each knows all, before its first second."""
+    world = MembersWorld(seed, count)
+    world.instances = [TimedInstance(world, number) for number in range(count)]
+    for each in world.instances:
+        each.timed = timed  # type: ignore[attr-defined]
+        each.start()
+    words = [each.gossip.own for each in world.instances]
+    for each in world.instances:
+        for word in words:
+            each.gossip.table.hear(each.clock(), word)
+        each.gossip.rumors.waiting.clear()
+    return world
+
+
+def table_mb(count: int, seed: int) -> float:
+    """What one member's table of so many takes, words of its own included."""
+    world = together(count, seed, Timed())
+    words = [msgspec.msgpack.encode(each.gossip.own) for each in world.instances]
+    kind = type(world.instances[0].gossip.own)
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    table = Table()
+    for each in words:
+        table.hear(0, msgspec.msgpack.decode(each, type=kind))
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / 1e6
+
+
+def members(effort: Effort) -> list[Line]:
+    lines = Lines("members", simulated=True)
+    lines.kind("member.core", "members", "of a core", "without sockets")
+    lines.kind("member.bytes_s", "members", "bytes a second", "sent; in calm, without headers")
+    lines.kind("member.datagrams_s", "members", "datagrams a second", "sent")
+    lines.kind("member.table_mb", "members", "MB")
+    for number in range(effort.runs(2)):
+        for count in effort.sizes((100, 200, 400, 700, 1_000), (5, 10, 15, 20)):
+            timed = Timed()
+            world = together(count, effort.seed + number, timed)
+            world.run(WARM * SECOND)
+            timed.take()
+            world.counts.clear()
+            world.run(SPAN * SECOND)
+            lines.add("member.core", count, timed.take() / SPAN / count)
+            lines.add("member.bytes_s", count, world.counts["bytes"] / SPAN / count)
+            lines.add("member.datagrams_s", count, world.counts["datagrams"] / SPAN / count)
+            lines.add("member.table_mb", count, table_mb(count, effort.seed))
+    return lines.made()
