--- a/lichencleat/distribution/counts.py
+++ b/lichencleat/distribution/counts.py
@@ -12,6 +12,8 @@
 
 from lichencleat.distribution.terms import ZONES_MOST, Count
 
+NODES_MOST = 1 << 20  # that one word can tell of: far over any fleet, so that sums stay numbers of the wire
+NAME_MOST = 64  # characters of a zone or a relay
 COUNTED = 5_000_000  # µs after the last question: over any hold, patience, or wait for a turn at a snapshot
 OLDEST = 1 << 53  # µs, and "never heard": ages stop there, so that sums stay whole numbers for JSON
 
@@ -62,9 +64,10 @@
     was told. Below a relay that is itself late all are. Numbers that can't be are cut to what can.
     """
     for each in counts:
-        nodes = max(0, each.nodes)
+        nodes = min(NODES_MOST, max(0, each.nodes))
         late = min(nodes, max(0, each.late))
         if version < needed or (not each.by and each.lowest < needed):
             late = nodes
         oldest = aged(max(0, each.oldest), passed)
-        yield Count(each.zone, nodes, max(0, each.lowest), oldest, late, each.by or relay)
+        lowest = min(OLDEST, max(0, each.lowest))
+        yield Count(each.zone[:NAME_MOST], nodes, lowest, oldest, late, (each.by or relay)[:NAME_MOST])
--- a/lichencleat/distribution/feed.py
+++ b/lichencleat/distribution/feed.py
@@ -5,6 +5,7 @@
 waited at one version are answered with the same object, so that the host encodes it once. Who is too far
 behind fetches a snapshot, a bounded number at a time, from views that are kept while somebody fetches.
 
+All of it is told of the version that `grew` brought last: the table itself may be a turn of the host ahead.
 The age in an answer is what was known when it was made. News may have been made any time after the question
 was asked; "nothing newer" is said only when the hold is over. `follow.py` counts on both.
 """
@@ -13,7 +14,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -134,10 +135,17 @@
 
 
 class Feeder:
-    def __init__(self, name: str, zone: str, table: Table, now: int) -> None:
-        """`now`: µs on the monotonic clock, as in all calls. The table is replaced by its owner alone."""
+    def __init__(self, name: str, zone: str, table: Table, now: int, recent: Sequence[Batch] = ()) -> None:
+        """`now`: µs on the monotonic clock, as in all calls. The table is replaced by its owner alone.
+
+        `recent`: batches in order that lead to what the table has, as a disk kept them; else they are let go.
+        """
         self.name, self.zone, self.table = name, zone, table
+        self.counters: dict[str, int] = {}
         self.window = Window(table.version, table.digest)
+        if recent and (recent[-1].version, recent[-1].digest) == (table.version, table.digest):
+            self.window.restart(recent[0].version, recent[0].digest)
+            self.fills(recent[1:])
         self.had = Had(now, table.version)
         self.word: tuple[int, int] | None = None  # when the age of what is here was told, and that age
         self.subscribers: dict[int, Subscriber] = {}
@@ -149,7 +157,6 @@
         self.credit, self.credit_at = FETCH_BURST, now  # bytes that may be sent of snapshots
         self.shared: dict[tuple[int, int], tuple[int, Fed]] = {}  # say, version -> when it was made, answer
         self.look_at = now + FETCH_IDLE
-        self.counters: dict[str, int] = {}
 
     def count(self, what: str) -> None:
         self.counters[what] = self.counters.get(what, 0) + 1
@@ -158,19 +165,27 @@
 
     def grew(self, now: int, batches: tuple[Batch, ...]) -> None:
         """The table took these; () where a snapshot replaced it: the window starts anew."""
-        if batches and batches[0].past == self.window.version:
-            for each in batches:
-                self.window.add(each)
-        if self.window.version != self.table.version or not batches:
+        if not batches:
             self.window.restart(self.table.version, self.table.digest)
-        self.had.note(now, self.table.version)
+        else:
+            self.fills(batches)
+        self.had.note(now, self.window.version)
         self.views = [each for each in self.views if each.view.version in self.window.places]
         self.shared.clear()
         self.ready.extend(who for who, each in self.subscribers.items() if each.held is not None)
 
+    def fills(self, batches: Sequence[Batch]) -> None:
+        try:
+            for each in batches:
+                self.window.add(each)
+        except ValueError:  # they do not follow: who is behind fetches the pages that differ
+            self.count("windows begun anew")
+            self.window.restart(self.table.version, self.table.digest)
+
     def known(self, now: int, age: int) -> None:
         """µs since the source was known to have nothing newer than what is here."""
-        self.word = (now, min(OLDEST, max(0, age)))
+        if self.table.version == self.window.version:  # else it is told of a version that is not served yet
+            self.word = (now, min(OLDEST, max(0, age)))
 
     def age(self, now: int) -> int:
         """`OLDEST` where nothing was ever heard: not 0, whatever the table holds."""
@@ -280,7 +295,7 @@
         made, fed = self.shared.get((say, has.version), (-1, None))
         if fed is None or made < since:
             batches = self.window.after(has.version) if say == Say.NEWS else None
-            fed = Fed(say, self.table.version, self.table.digest, self.age(now), batches or ())
+            fed = Fed(say, self.window.version, self.window.digest, self.age(now), batches or ())
             if len(self.shared) >= SUBSCRIBERS_MOST:
                 self.shared.clear()
             self.shared[say, has.version] = (now, fed)
@@ -289,7 +304,7 @@
 
     def say(self, has: Follow) -> Say:
         """What one is told that has this version; SAME also stands for "nothing yet"."""
-        here = self.table.version
+        here = self.window.version
         if has.version > here:
             return Say.BEHIND
         known = self.window.digests.get(has.version)
@@ -306,7 +321,7 @@
     # -- snapshots -------------------------------------------------------------------------------------
 
     def head(self, now: int, who: int, sub: Subscriber, held: Held) -> Decision:
-        if not self.table.version:
+        if not self.window.version:
             return self.declined(who, held, "nothing here")
         if who not in self.fetchers and len(self.fetchers) >= FETCHERS_MOST:
             return self.declined(who, held, "busy")
@@ -405,8 +420,8 @@
         return {
             "name": self.name,
             "zone": self.zone,
-            "version": self.table.version,
-            "digest": self.table.digest.hex(),
+            "version": self.window.version,
+            "digest": self.window.digest.hex(),
             "age_us": age if age < OLDEST else -1,
             "subscribers": len(self.subscribers),
             "fetching": len(self.fetchers),
