--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -11,6 +11,7 @@
 
 NOUNS = {
     "config": ("lichencleat.cli.chosen", "The operators' file: check it, show what is in force."),
+    "distribution": ("lichencleat.cli.distribution", "The fleet's configuration, carried to every node."),
     "fleet": ("lichencleat.cli.fleet", "All nodes: how far each is open; a return after a power loss."),
     "flows": ("lichencleat.cli.flows", "Flow export: a collector that adds up who sent what."),
     "keyed": ("lichencleat.cli.keyed", "Receipts and results of a node that outlive its restarts."),
