Distribution: simulation of the fleet over the real feeder and follower

Need: what 3,300 nodes cost and how long a change takes through each event can't be seen at a few processes. Change: places, connections, cores and links as a model, the voters' group as a model, tables shared by version, a judge at each step, 24 scenes. No tests yet.

--- /dev/null
+++ b/lichencleat/lab/sim/distribution_events.py
@@ -0,0 +1,311 @@
+"""What happens to the simulated fleet: the load of changes, and one scene for each event with its storm."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from lichencleat.distribution.terms import BATCH_MOST, Change
+from lichencleat.lab.sim.distribution_fleet import Fleet
+from lichencleat.lab.sim.distribution_table import drawn_changes
+from lichencleat.lab.sim.distribution_world import SECOND, Site
+
+WARM = 12  # s until all have come and figures begin
+BEGIN = 20  # s: what happens begins
+QUIET = 7  # s before the end without changes: all of them are to be in force by then
+SINGLES = 0.27  # changes a second that come one by one; as many come in bursts: 0.54 in all
+BURST, BURSTS = 50, 185  # changes in one, and s between two on average
+RACK = 40
+SLOW = 40  # times as long for all that a slow process does
+
+
+class Scene:
+    """Schedules everything before the first event. Times in s."""
+
+    def __init__(self, fleet: Fleet, event: str, rng: random.Random) -> None:
+        self.fleet, self.event, self.rng = fleet, event, rng
+        self.records = fleet.size.records
+        self.until = 75.0
+        EVENTS[event](self)
+        self.load()
+
+    def at(self, seconds: float, call: Callable[..., Any], *args: Any) -> None:
+        self.fleet.world.clockwork.after(round(seconds * SECOND), call, *args)
+
+    # -- changes ---------------------------------------------------------------------------------------
+
+    def load(self) -> None:
+        """Drawn singles and bursts, and one burst more in the midst of what happens."""
+        last, moment = self.until - QUIET, 6.0
+        while (moment := moment + self.rng.expovariate(SINGLES)) < last:
+            self.at(moment, self.publish, 1)
+        moment = 0.0
+        while (moment := moment + self.rng.expovariate(1 / BURSTS)) < last - 1:
+            self.burst(moment + 6.0)
+        self.burst(BEGIN + self.rng.uniform(0.2, 2.0))
+
+    def burst(self, moment: float) -> None:
+        """As one batch, or as many single ones within a second."""
+        if self.rng.random() < 0.5:
+            self.at(moment, self.publish, BURST)
+        else:
+            for _ in range(BURST):
+                self.at(moment + self.rng.random(), self.publish, 1)
+
+    def publish(self, count: int) -> None:
+        self.fleet.source.publish(drawn_changes(self.fleet.rng, self.records, count))
+
+    # -- faults ----------------------------------------------------------------------------------------
+
+    def off(
+        self,
+        sites: Sequence[Site],
+        begin: float,
+        end: float,
+        disk: bool = True,
+        silent: bool = True,
+        spread: float = 1.0,
+    ) -> None:
+        """They end, and come again at `end`, over `spread` s, with what their disks have, or with nothing."""
+
+        def goes(site: Site) -> None:
+            if site.up:
+                kept = self.fleet.ends(site, silent)
+                self.at(back[site.name], comes, site, kept)
+
+        def comes(site: Site, kept: int) -> None:
+            self.fleet.starts(site, kept if disk else 0, "disk" if disk and kept else "cold")
+
+        back = {site.name: end - begin + self.rng.uniform(0, spread) for site in sites}
+        for site in sites:
+            self.at(begin, goes, site)
+
+    def slow(self, site: Site, begin: float, end: float) -> None:
+        self.at(begin, setattr, site, "slow", SLOW)
+        self.at(end, setattr, site, "slow", 1)
+
+    def stop(self, sites: Sequence[Site], begin: float, end: float) -> None:
+        """SIGSTOP, and woken late."""
+        for site in sites:
+            self.at(begin, self.stops, site)
+            self.at(end, self.wakes, site)
+
+    def stops(self, site: Site) -> None:
+        self.fleet.world.stops(site)
+        if site.tier == "node":
+            self.fleet.judge.cut_off(site.name)
+
+    def wakes(self, site: Site) -> None:
+        if site.tier == "node" and site.region not in self.fleet.world.cut:
+            self.fleet.judge.back_on(self.fleet.world.clockwork.now, site.name)
+        self.fleet.world.wakes(site)
+
+    def cut(self, region: int, begin: float, end: float) -> None:
+        """Nothing between that region and the others."""
+        world, judge = self.fleet.world, self.fleet.judge
+        nodes = [site for site in self.fleet.nodes if site.region == region]
+
+        def cuts() -> None:
+            world.cut.add(region)
+            for site in nodes:
+                judge.cut_off(site.name)
+
+        def heals() -> None:
+            world.cut.discard(region)
+            for site in nodes:
+                if not site.paused:
+                    judge.back_on(world.clockwork.now, site.name)
+
+        self.at(begin, cuts)
+        self.at(end, heals)
+
+    def old(self, site: Site, begin: float, end: float) -> None:
+        """Put back with the version that all began with; until `end` it reaches nobody above."""
+        fleet = self.fleet
+
+        def put_back() -> None:
+            fleet.ends(site, silent=False)
+            tiers, fleet.tiers[site.name] = fleet.tiers[site.name], ()
+            fleet.starts(site, 1, "disk")
+            fleet.tiers[site.name] = tiers
+
+        def found() -> None:
+            fleet.ends(site, silent=False)
+            fleet.starts(site, 1, "disk")
+
+        self.at(begin, put_back)
+        self.at(end, found)
+
+    def leader(self, call: Callable[[Site], None], begin: float) -> None:
+        """Whoever it is then."""
+
+        def does() -> None:
+            if self.fleet.source.leader is not None:
+                call(self.fleet.source.leader)
+
+        self.at(begin, does)
+
+    # -- who -------------------------------------------------------------------------------------------
+
+    def zone(self) -> str:
+        return self.rng.choice(sorted(self.fleet.zones))
+
+    def relay(self, tier: str) -> Site:
+        """One that has subscribers."""
+        regions = {site.region for site in self.fleet.nodes}
+        return self.rng.choice(
+            [site for site in self.fleet.relays if site.tier == tier and site.region in regions]
+        )
+
+    def region(self) -> int:
+        return self.rng.choice(sorted({site.region for site in self.fleet.nodes}))
+
+
+# -- scenes ------------------------------------------------------------------------------------------------
+
+
+def calm(scene: Scene) -> None:
+    pass
+
+
+def replaced(scene: Scene) -> None:
+    """One node goes each 4 s, and another one comes in its place with nothing."""
+    scene.until = 140
+    for number, site in enumerate(scene.rng.sample(scene.fleet.nodes, min(25, len(scene.fleet.nodes) // 2))):
+        begin = BEGIN + 4 * number
+        scene.off([site], begin, begin + scene.rng.uniform(1, 3), disk=False)
+
+
+def rack(scene: Scene, disk: bool) -> None:
+    nodes = scene.fleet.zones[scene.zone()]
+    scene.off(scene.rng.sample(nodes, min(RACK, len(nodes) // 2)), BEGIN, BEGIN + 25, disk)
+    scene.until = 130
+
+
+def zone(scene: Scene, disk: bool) -> None:
+    """With its relays, whose disks have what they had."""
+    lost = scene.zone()
+    relays = [site for site in scene.fleet.relays if site.zone == lost]
+    scene.off(relays, BEGIN, BEGIN + 30)
+    scene.off(scene.fleet.zones[lost], BEGIN, BEGIN + 30, disk, spread=3)
+    scene.until = BEGIN + 60 if disk else BEGIN + 270
+
+
+def power(scene: Scene, disk: bool) -> None:
+    """All machines; voters and relays come first, as they have less to do before."""
+    fleet = scene.fleet
+    scene.off(fleet.source.voters, BEGIN, BEGIN + 20, spread=2)
+    scene.off(fleet.relays, BEGIN, BEGIN + 20, spread=4)
+    scene.off(fleet.nodes, BEGIN, BEGIN + 22, disk, spread=5)
+    scene.until = BEGIN + 70 if disk else BEGIN + 270
+
+
+def region_cut(scene: Scene) -> None:
+    scene.cut(scene.region(), BEGIN, BEGIN + 300)
+    scene.until = BEGIN + 300 + 35
+
+
+def taken_back(scene: Scene) -> None:
+    """A bad change of as many records as fit a batch, and 20 s later the batch that takes it back."""
+    fleet = scene.fleet
+    changes = drawn_changes(scene.rng, scene.records, min(BATCH_MOST, scene.records // 2))
+
+    def back() -> None:
+        judge, before = fleet.judge, bad[0]
+        values = [(each, judge.value(each.kind, each.name, before)) for each in changes]
+        fleet.source.publish(tuple(Change(each.kind, each.name, value) for each, value in values))
+
+    def bad_one() -> None:
+        bad.append(fleet.judge.versions[-1])
+        fleet.source.publish(changes)
+
+    bad: list[int] = []
+    scene.at(BEGIN, bad_one)
+    scene.at(BEGIN + 20, back)
+
+
+def lost(scene: Scene, tier: str, silent: bool) -> None:
+    scene.off([scene.relay(tier)], BEGIN, BEGIN + 15, silent=silent)
+
+
+def lost_both(scene: Scene) -> None:
+    """All relays of a zone."""
+    lost = scene.zone()
+    scene.off([site for site in scene.fleet.relays if site.zone == lost], BEGIN, BEGIN + 25)
+
+
+def slow(scene: Scene, tier: str) -> None:
+    scene.slow(scene.relay(tier), BEGIN, BEGIN + 35)
+
+
+def stopped(scene: Scene, tier: str) -> None:
+    scene.stop([scene.relay(tier)], BEGIN, BEGIN + 25)
+
+
+def old_copy(scene: Scene, tier: str) -> None:
+    scene.old(scene.relay(tier), BEGIN, BEGIN + 20)
+
+
+def leader_killed(scene: Scene) -> None:
+    scene.leader(lambda site: scene.off([site], 0, 20, silent=False), BEGIN)
+
+
+def leader_stopped(scene: Scene) -> None:
+    scene.leader(lambda site: scene.stop([site], 0, 15), BEGIN)
+
+
+def drawn(scene: Scene) -> None:
+    """Several faults at once, all over in 35 s."""
+    rng, fleet = scene.rng, scene.fleet
+    last = BEGIN + 35
+    scene.until = last + 40
+
+    def span() -> tuple[float, float]:
+        begin = rng.uniform(BEGIN, last - 8)
+        return begin, rng.uniform(begin + 1, last)
+
+    def some_nodes() -> list[Site]:
+        return rng.sample(fleet.nodes, min(RACK, len(fleet.nodes) // 4))
+
+    tiers = ("zone relay", "region relay")
+    faults: list[Callable[[], Any]] = [
+        lambda: scene.off([scene.relay(rng.choice(tiers))], *span(), silent=rng.random() < 0.5),
+        lambda: scene.slow(scene.relay(rng.choice(tiers)), *span()),
+        lambda: scene.stop([scene.relay(rng.choice(tiers))], *span()),
+        lambda: scene.old(scene.relay(rng.choice(tiers)), *span()),
+        lambda: scene.off(some_nodes(), *span(), disk=rng.random() < 0.7),
+        lambda: scene.stop(some_nodes(), *span()),
+        lambda: scene.cut(scene.region(), *span()),
+        lambda: scene.leader(lambda site: scene.off([site], 0, 8, silent=rng.random() < 0.5), span()[0]),
+    ]
+    for _ in range(rng.randint(3, 8)):
+        rng.choice(faults)()
+
+
+EVENTS: dict[str, Callable[[Scene], None]] = {
+    "calm": calm,
+    "replaced": replaced,
+    "rack cold": lambda scene: rack(scene, False),
+    "rack disk": lambda scene: rack(scene, True),
+    "zone cold": lambda scene: zone(scene, False),
+    "zone disk": lambda scene: zone(scene, True),
+    "region cut": region_cut,
+    "power cold": lambda scene: power(scene, False),
+    "power disk": lambda scene: power(scene, True),
+    "taken back": taken_back,
+    "zone relay killed": lambda scene: lost(scene, "zone relay", False),
+    "zone relay off": lambda scene: lost(scene, "zone relay", True),
+    "zone relays off": lost_both,
+    "zone relay slow": lambda scene: slow(scene, "zone relay"),
+    "zone relay stopped": lambda scene: stopped(scene, "zone relay"),
+    "zone relay old": lambda scene: old_copy(scene, "zone relay"),
+    "region relay killed": lambda scene: lost(scene, "region relay", False),
+    "region relay off": lambda scene: lost(scene, "region relay", True),
+    "region relay slow": lambda scene: slow(scene, "region relay"),
+    "region relay stopped": lambda scene: stopped(scene, "region relay"),
+    "region relay old": lambda scene: old_copy(scene, "region relay"),
+    "leader killed": leader_killed,
+    "leader stopped": leader_stopped,
+    "drawn": drawn,
+}
--- /dev/null
+++ b/lichencleat/lab/sim/distribution_fleet.py
@@ -0,0 +1,407 @@
+"""What runs in the places of the simulated fleet: the real `Feeder` and `Follower`, hosts like the real ones.
+
+A relay that starts from its disk feeds those behind from the batches that the disk still tells of, as real.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from lichencleat.distribution.errors import TableError
+from lichencleat.distribution.feed import Answer, Decline, Feeder
+from lichencleat.distribution.follow import Act, Decision, Follower
+from lichencleat.distribution.terms import FOLLOW, Batch, Follow, Pages
+from lichencleat.lab.sim.distribution_judge import Judge
+from lichencleat.lab.sim.distribution_source import Source
+from lichencleat.lab.sim.distribution_table import Shared, SharedCopy, drawn_table
+from lichencleat.lab.sim.distribution_world import (
+    REGIONS,
+    SECOND,
+    VOTERS,
+    ZONES,
+    Costs,
+    Link,
+    Site,
+    World,
+    size_of,
+)
+from lichencleat.quorum.wire import Reply, Request, encode
+
+MARK = b"the group's mark"
+CALL = 1_500_000  # µs for a link to be opened and greeted, as the real host waits
+COUNT = 200_000  # µs between sums of what is below, as in the real relay
+RECENT = 1_000  # batches that a disk tells of
+NIL = msgspec.Raw(b"\xc0")
+SMALL_ANSWER, SMALL_QUESTION = (
+    len(encode(Reply(1_000, True, NIL))) - 1,
+    len(encode(Request(1_000, "", NIL))) - 1,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    nodes: int = 3_300
+    zones: int = ZONES
+    regions: int = REGIONS
+    zone_relays: int = 2
+    records: int = 560_000
+
+
+class Host:
+    """What runs in one process: a feeder, a follower, or both."""
+
+    __slots__ = ("fleet", "world", "site", "copy", "feeder", "follower", "joined", "packed", "silent",
+                 "budget", "feeds_at", "follows_at", "counted_at", "content", "size")  # fmt: skip
+
+    def __init__(self, fleet: Fleet, site: Site) -> None:
+        self.fleet, self.world, self.site = fleet, fleet.world, site
+        self.copy: Any = None
+        self.feeder: Feeder | None = None
+        self.follower: Follower | None = None
+        self.silent = False  # the machine is without power: it does not even refuse a connection
+        self.clear()
+
+    def clear(self) -> None:
+        self.joined: set[int] = set()  # links that the feeder knows; only asked whether one is in it
+        self.packed: dict[int, bytes] = {}  # pages that this process has packed
+        self.budget = 0  # slices that the core has been charged for
+        self.feeds_at: int | None = None
+        self.follows_at: int | None = None
+        self.counted_at = 0
+        self.content: Any = None  # the last answer: one that goes to many is encoded once
+        self.size = 0
+
+    def starts(self, copy: Any, tiers: Sequence[Sequence[str]]) -> None:
+        site, now = self.site, self.world.clockwork.now
+        self.world.starts(site)
+        self.clear()
+        self.silent = False
+        self.copy = copy
+        if site.tier != "node":
+            self.feeder = self.fleet.feeder(site.name, site.zone, copy, now, self.recent())
+        if tiers:
+            rng = random.Random(self.world.rng.getrandbits(60))
+            self.follower = self.fleet.follower(tiers, copy, rng, now, site.tier == "node", site.zone)
+            self.pump()
+
+    def recent(self) -> tuple[Batch, ...]:
+        """The last batches, as they are on its disk."""
+        source = self.fleet.source
+        return tuple(source.committed[: source.place.get(self.copy.version, 0)][-RECENT:])
+
+    # -- the side that answers -------------------------------------------------------------------------
+
+    def asked(self, link: Link, number: int, what: str, content: Any) -> None:
+        self.world.work(self.site, self.fleet.costs.question // 2, self.reads, link, number, what, content)
+
+    def reads(self, link: Link, number: int, what: str, content: Any) -> None:
+        if not link.called_on:
+            return
+        feeder, now = self.feeder, self.world.clockwork.now
+        assert feeder is not None
+        if link.number not in self.joined:
+            if not feeder.joined(now, link.number):
+                self.answers(link, number, False, "full")
+                return
+            self.joined.add(link.number)
+        feeder.asked(now, link.number, number, what, content)
+        self.pull()
+
+    def caller_left(self, link: Link) -> None:
+        assert self.feeder is not None
+        if link.number in self.joined:
+            self.joined.discard(link.number)
+            self.feeder.left(self.world.clockwork.now, link.number)
+            self.pull()
+
+    def pull(self) -> None:
+        feeder, now, links = self.feeder, self.world.clockwork.now, self.site.links
+        assert feeder is not None
+        while (decision := feeder.next_decision(now)) is not None:
+            link = links.get(decision.who)
+            if link is None:
+                continue
+            if isinstance(decision, Answer):
+                self.answers(link, decision.number, True, decision.content)
+            elif isinstance(decision, Decline):
+                self.answers(link, decision.number, False, decision.why)
+            else:
+                self.joined.discard(link.number)
+                self.world.closes(link, by_caller=False)
+        due = feeder.deadline()
+        if due is not None and (self.feeds_at is None or due < self.feeds_at):
+            self.feeds_at = max(due, now + 1)
+            self.world.after(self.site, self.feeds_at - now, self.feeder_wakes, self.feeds_at)
+
+    def feeder_wakes(self, at: int) -> None:
+        if self.feeds_at == at:
+            self.feeds_at = None
+            self.pull()
+
+    def answers(self, link: Link, number: int, done: bool, content: Any) -> None:
+        if content is not self.content:
+            self.content, self.size = content, len(encode(content)) + SMALL_ANSWER
+        costs, site = self.fleet.costs, self.site
+        cost = costs.question // 2 + int(self.size * costs.kilobyte) // 1_024
+        if isinstance(content, Pages):
+            for page, packed in content.pages:
+                if self.packed.get(page) is not packed:
+                    self.packed[page] = packed
+                    cost += costs.pack
+        self.world.charge(site, cost)
+        self.world.sends(
+            link, True, size_of(self.size), site.busy, link.caller.host.replied, number, done, content
+        )
+
+    # -- the side that asks ----------------------------------------------------------------------------
+
+    def pump(self) -> None:
+        follower, now = self.follower, self.world.clockwork.now
+        assert follower is not None
+        if self.feeder is not None and now - self.counted_at >= COUNT:
+            self.counted_at = now
+            follower.below = self.feeder.counts(now)
+        while (decision := follower.next_decision(now)) is not None:
+            self.does(decision)
+        due = follower.deadline()
+        if self.follows_at is None or due < self.follows_at:
+            self.follows_at = max(due, now + 1)
+            self.world.after(self.site, self.follows_at - now, self.follower_wakes, self.follows_at)
+
+    def follower_wakes(self, at: int) -> None:
+        """Timers that a later question has put off are only set again."""
+        if self.follows_at != at:
+            return
+        self.follows_at = None
+        follower, now = self.follower, self.world.clockwork.now
+        assert follower is not None
+        if follower.deadline() <= now:
+            follower.wakes(now)
+        self.pump()
+
+    def does(self, decision: Decision) -> None:
+        act, site, now = decision.act, self.site, self.world.clockwork.now
+        if act is Act.ASK:
+            link = site.calls.get(decision.relay)
+            if link is not None and link.opened:
+                self.asks(link, decision.what, decision.content)
+        elif act is Act.STEP:
+            self.steps()
+        elif act is Act.OPEN:
+            self.drops(decision.relay)
+            link = self.world.opens(site, self.fleet.world.sites[decision.relay])
+            self.world.after(site, CALL, self.gives_up, link)
+        elif act is Act.CLOSE:
+            self.drops(decision.relay)
+        elif act is Act.TAKEN:
+            self.taken(now, decision.batches)
+        else:
+            self.fleet.tells(now, site, decision.text)
+
+    def drops(self, relay: str) -> None:
+        link = self.site.calls.get(relay)
+        if link is not None:
+            self.world.closes(link, by_caller=True)
+
+    def gives_up(self, link: Link) -> None:
+        if link.caller_on and not link.opened:
+            self.world.closes(link, by_caller=True)
+            self.link_lost(link)
+
+    def asks(self, link: Link, what: str, content: Any) -> None:
+        link.asked += 1
+        link.what = what
+        if self.site.tier == "node" and what == FOLLOW and isinstance(content, Follow):
+            self.fleet.judge.acknowledges(
+                self.world.clockwork.now, self.site.name, self.copy, content.version
+            )
+        size = size_of(len(encode(content)) + len(what) + SMALL_QUESTION) + 66  # acknowledged by itself
+        self.world.sends(link, False, size, 0, link.called.host.asked, link.asked, what, content)
+
+    def link_opened(self, link: Link) -> None:
+        assert self.follower is not None
+        self.follower.opened(self.world.clockwork.now, link.called.name, MARK)
+        self.pump()
+
+    def link_lost(self, link: Link) -> None:
+        assert self.follower is not None
+        self.follower.lost(self.world.clockwork.now, link.called.name, "the connection ended")
+        self.pump()
+
+    def replied(self, link: Link, number: int, done: bool, content: Any) -> None:
+        costs = self.fleet.costs
+        if self.feeder is None:
+            self.site.meter.works(self.world.clockwork.now, costs.node_message)
+            self.told(link, number, done, content)
+        else:
+            self.world.work(self.site, costs.question // 2, self.told, link, number, done, content)
+
+    def told(self, link: Link, number: int, done: bool, content: Any) -> None:
+        if not link.caller_on or number != link.asked:
+            return
+        follower, now = self.follower, self.world.clockwork.now
+        assert follower is not None
+        what, link.what = link.what, ""
+        if done:
+            follower.told(now, link.called.name, what, content)
+        else:
+            follower.told(now, link.called.name, what, None, content)
+        if self.feeder is not None:
+            self.feeder.known(now, follower.age(now))
+        self.looked_at()
+        self.pump()
+
+    # -- taking over -----------------------------------------------------------------------------------
+
+    def steps(self) -> None:
+        """As many slices as are due are charged at once, and taken one after another when they are over."""
+        if self.budget > 0:
+            self.budget -= 1
+            self.step()
+            return
+        count = max(1, self.copy.slices)
+        self.copy.slices = 0
+        self.budget = count - 1
+        costs = self.fleet.costs
+        if self.feeder is None:
+            span = count * costs.node_slice
+            self.site.meter.works(self.world.clockwork.now, span)
+            self.world.after(self.site, span, self.step_and_pump)
+        else:
+            self.world.work(self.site, count * costs.slice, self.step_and_pump)
+
+    def step_and_pump(self) -> None:
+        self.step()
+        self.pump()
+
+    def step(self) -> None:
+        follower, now = self.follower, self.world.clockwork.now
+        assert follower is not None
+        try:
+            ready: bool | None = self.copy.step()
+        except TableError:
+            ready = None
+        follower.stepped(now, ready)
+        self.looked_at()
+
+    def looked_at(self) -> None:
+        if self.feeder is None:
+            self.fleet.judge.looks_at(self.world.clockwork.now, self.site.name, self.copy, self.copy.batches)
+
+    def taken(self, now: int, batches: tuple[Batch, ...]) -> None:
+        self.looked_at()
+        if self.feeder is not None:
+            assert self.follower is not None
+            self.feeder.grew(now, batches)
+            self.feeder.known(now, self.follower.age(now))
+            self.pull()
+
+
+class Fleet:
+    def __init__(
+        self,
+        rng: random.Random,
+        size: Size,
+        costs: Costs,
+        feeder: Callable[..., Any] = Feeder,
+        follower: Callable[..., Any] = Follower,
+        copy: Callable[..., Any] = SharedCopy,
+    ) -> None:
+        """`feeder`, `follower`, `copy`: the real ones, or variants with a planted mistake."""
+        self.rng, self.size, self.costs = rng, size, costs
+        self.feeder, self.follower, self.copy = feeder, follower, copy
+        self.world = World(random.Random(rng.getrandbits(60)), costs)
+        self.shared = Shared(drawn_table(random.Random(rng.getrandbits(60)), size.records))
+        table = self.shared.versions[1]
+        self.judge = Judge(1, table.digest, table.items())
+        self.source = Source(self)
+        self.lines: list[str] = []  # the first ones that were told
+        self.told = 0
+        self.tiers: dict[str, tuple[tuple[str, ...], ...]] = {}
+        self.zones: dict[str, list[Site]] = {}
+        self.nodes: list[Site] = []
+        self.relays: list[Site] = []
+        self.build()
+
+    def tells(self, now: int, site: Site, text: str) -> None:
+        self.told += 1
+        if len(self.lines) < 200:
+            self.lines.append(f"{now / SECOND:.3f} {site.name}: {text}")
+
+    def build(self) -> None:
+        size, world = self.size, self.world
+        for number in range(VOTERS):
+            site = self.place(f"v{number + 1}", number % size.regions, f"voters {number}", "voter")
+            self.source.voters.append(site)
+        for region in range(size.regions):
+            near = sorted(self.source.voters, key=lambda each: (self.far(region, each.region), each.name))
+            names = tuple(each.name for each in near)
+            for letter in "ab":
+                site = self.place(f"r{region}.{letter}", region, f"region {region} {letter}", "region relay")
+                self.tiers[site.name] = (names[:1], names[1:])
+                self.relays.append(site)
+        for number in range(size.zones):
+            region, zone = number % size.regions, f"z{number:02d}"
+            above = tuple(f"r{region}.{letter}" for letter in "ab")
+            own = tuple(f"{zone}.{letter}" for letter in "abc"[: size.zone_relays])
+            for name in own:
+                site = self.place(name, region, zone, "zone relay")
+                self.tiers[name] = (above, tuple(each.name for each in self.source.voters))
+                self.relays.append(site)
+            count = size.nodes * (number + 1) // size.zones - size.nodes * number // size.zones
+            self.zones[zone] = []
+            for node in range(count):
+                site = self.place(f"{zone}.n{node:03d}", region, zone, "node")
+                self.tiers[site.name] = (own, above)
+                self.zones[zone].append(site)
+                self.nodes.append(site)
+        for site in world.sites.values():
+            site.host = Host(self, site)
+
+    def far(self, one: int, other: int) -> int:
+        return 0 if one == other else self.world.trips[one, other][0]
+
+    def place(self, name: str, region: int, zone: str, tier: str) -> Site:
+        return self.world.add(name, region, zone, tier)
+
+    # -- starts and ends -------------------------------------------------------------------------------
+
+    def begins(self) -> None:
+        """All have version 1, from their disks; nodes come over some seconds."""
+        for voter in self.source.voters:
+            voter.host.starts(self.copy(self.shared, 1, MARK), ())
+        self.source.begins()
+        for site in self.relays:
+            self.world.clockwork.after(self.rng.randrange(SECOND), self.starts, site, 1, "running")
+        for site in self.nodes:
+            self.world.clockwork.after(
+                self.rng.randrange(SECOND, 5 * SECOND), self.starts, site, 1, "running"
+            )
+
+    def starts(self, site: Site, version: int, kind: str) -> None:
+        """With what its disk has: 0 is nothing."""
+        if site.up:
+            return
+        copy = self.copy(self.shared, version, MARK if version else b"")
+        if site.tier == "node":
+            self.judge.starts(self.world.clockwork.now, site.name, copy, kind)
+        site.host.starts(copy, self.tiers.get(site.name, ()))
+        if site.region in self.world.cut:
+            self.judge.cut_off(site.name)
+
+    def ends(self, site: Site, silent: bool = True) -> int:
+        """The version that it had."""
+        if not site.up:
+            return site.host.copy.version if site.host.copy is not None else 0
+        self.world.ends(site, silent)
+        site.host.silent = silent
+        if site.tier == "node":
+            self.judge.ends(site.name)
+        if site is self.source.leader:
+            self.source.loses_leader()
+        return site.host.copy.version
