Capacity: the plan by role, bounds, events and machines; lichencleat capacity plan

The fleet's costs are to be made by a command from slopes that were measured, with what breaks first.

--- /dev/null
+++ b/lichencleat/capacity/bounds.py
@@ -0,0 +1,66 @@
+"""Figures of the code beyond which it turns away, forgets or ends, read where they stand; no I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lichencleat.capacity import sizes as of
+from lichencleat.capacity.needs import CONFIG, SOME
+from lichencleat.capacity.sizes import Size
+from lichencleat.distribution import terms as distribution
+from lichencleat.flows import collector
+from lichencleat.members import table as members
+from lichencleat.owners import terms as owners
+from lichencleat.quorum import facts, group, links, sessions
+from lichencleat.revive import terms as revive
+from lichencleat.shares import terms as shares
+from lichencleat.zones import terms as zones
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    role: str
+    what: str
+    name: str  # module and constant, or the target's word
+    bound: float | None  # None: the target's own
+    size: Size
+    answer: str = ""  # what carries it at the target instead, where it does not hold
+
+
+CANDIDATES = "candidates are the machines set aside"
+
+# fmt: off
+BOUNDS = (
+    Bound("node", "connections: each caller to each node", "node_sockets", None, of.callers),
+    Bound("node", "connections: a subset", "node_sockets", None, of.subset),
+    Bound("member", "members: each node", "members.table.MEMBERS_MOST", members.MEMBERS_MOST, of.nodes, SOME),
+    Bound("voter", "members of a group: each node a learner", "quorum.group.MEMBERS_MOST",
+          group.MEMBERS_MOST, of.nodes,
+          CONFIG),
+    Bound("voter", "facts: routes and tenants", "quorum.facts.FACTS_MOST", facts.FACTS_MOST, of.records,
+          CONFIG),
+    Bound("voter", "connections: each node asks one group", "quorum.links.CONNECTIONS_MOST",
+          links.CONNECTIONS_MOST,
+          of.nodes),
+    Bound("voter", "sessions: each node asks one group", "quorum.sessions.SESSIONS_MOST",
+          sessions.SESSIONS_MOST,
+          of.nodes),
+    Bound("owner", "candidates: each node", "owners.terms.CANDIDATES_MOST", owners.CANDIDATES_MOST,
+          of.nodes, CANDIDATES),
+    Bound("owner", "candidates: each machine", "owners.terms.CANDIDATES_MOST", owners.CANDIDATES_MOST,
+          of.machines),
+    Bound("dealer", "seats of a pool", "shares.terms.NODES_MOST", shares.NODES_MOST, of.seats),
+    Bound("planner", "nodes of a return", "revive.terms.NODES_MOST", revive.NODES_MOST, of.nodes),
+    Bound("zone judge", "zones", "zones.terms.ZONES_MOST", zones.ZONES_MOST, of.zones),
+    Bound("zone judge", "routers that report", "zones.terms.SOURCES_MOST", zones.SOURCES_MOST, of.routers),
+    Bound("collector", "senders: each node to one", "flows.collector.SENDERS_MOST", collector.SENDERS_MOST,
+          of.nodes),
+    Bound("collector", "tenants told apart", "flows.collector.TENANTS_MOST", collector.TENANTS_MOST,
+          of.tenants),
+    Bound("relay", "subscribers: a zone's nodes", "distribution.terms.SUBSCRIBERS_MOST",
+          distribution.SUBSCRIBERS_MOST,
+          of.zone_nodes),
+    Bound("relay", "records", "distribution.terms.RECORDS_MOST", distribution.RECORDS_MOST, of.records),
+    Bound("relay", "zones counted apart", "distribution.terms.ZONES_MOST", distribution.ZONES_MOST, of.zones),
+)
+# fmt: on
--- a/lichencleat/capacity/machines.py
+++ b/lichencleat/capacity/machines.py
@@ -2,8 +2,9 @@
 and a zone is lost with it; no I/O.
 
 Each zone has a machine for relays, the others take voters and publishers, in as many regions as there are;
-what is left is spare. A zone's second relay stands in another zone of its region: neither a machine nor a zone
-takes both from nodes that remain. Those that lose both all the same ask the region's relays, then the voters.
+what is left is spare. A zone's second relay stands in another zone of its region: neither a machine nor a
+zone takes both from nodes that remain. Those that lose both all the same ask the region's relays, then the
+voters.
 """
 
 from __future__ import annotations
--- a/lichencleat/capacity/target.py
+++ b/lichencleat/capacity/target.py
@@ -1,4 +1,4 @@
-"""The fleet that is planned for, as its file says it, and the file of slopes: only this module reads files."""
+"""The fleet that is planned for, as its file says it, and the file of slopes: only here are files read."""
 
 from __future__ import annotations
 
--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -10,6 +10,7 @@
 import click
 
 NOUNS = {
+    "capacity": ("lichencleat.cli.capacity", "What a fleet costs, role by role, and what breaks first."),
     "config": ("lichencleat.cli.chosen", "The operators' file: check it, show what is in force."),
     "distribution": ("lichencleat.cli.distribution", "The fleet's configuration, carried to every node."),
     "fleet": ("lichencleat.cli.fleet", "All nodes: how far each is open; a return after a power loss."),
