--- a/lichencleat/distribution/table.py
+++ b/lichencleat/distribution/table.py
@@ -158,22 +158,26 @@
         self.before = before
         return Batch(version, batch.past, self.digest, batch.changes)
 
+    @staticmethod
+    def assembled(version: int, whole: list[bytes], digests: list[int], records: int) -> Table:
+        """Of pages that were looked through elsewhere; their digests and how many records they have."""
+        table = Table()
+        table.version, table.pages, table.page_digests = version, list(whole), list(digests)
+        table.total = sum(digests) & pages.SUM_MASK
+        table.records, table.bytes = records, sum(map(len, whole))
+        return table
+
     @staticmethod
     def loaded(version: int, whole: Sequence[bytes]) -> Table:
         """All at once. Raises SpoiltError where a page can't be one."""
         if len(whole) != PAGES:
             raise SpoiltError(f"a table has {PAGES} pages, not {len(whole)}")
-        table = Table()
         for number, page in enumerate(whole):
             wrong = pages.fault(number, page)
             if wrong:
                 raise SpoiltError(f"page {number}: {wrong}")
-        table.pages = list(whole)
-        table.page_digests = [pages.digest_of(number, page) for number, page in enumerate(whole)]
-        table.total = sum(table.page_digests) & pages.SUM_MASK
-        table.records, table.bytes = sum(map(pages.count_of, whole)), sum(map(len, whole))
-        table.version = version
-        return table
+        digests = [pages.digest_of(number, page) for number, page in enumerate(whole)]
+        return Table.assembled(version, list(whole), digests, sum(map(pages.count_of, whole)))
 
 
 class Staging:
--- /dev/null
+++ b/tests/distribution/test_kept.py
@@ -0,0 +1,373 @@
+"""The last version on a disk: whole after any cut, checked at the start, never in the reactor's way."""
+
+import queue
+import random
+import threading
+
+import pytest
+from twisted.internet.defer import Deferred, execute
+from twisted.internet.task import Clock
+
+from lichencleat.distribution import kept as module
+from lichencleat.distribution import pages
+from lichencleat.distribution.kept import Kept, made_kept, open_kept, page_key
+from lichencleat.distribution.table import Table
+from lichencleat.distribution.terms import PAGES, Batch, Change
+from lichencleat.store.batch import Batch as Stored
+from lichencleat.store.engine import Engine
+from lichencleat.store.errors import StoreError, UnfitError
+from lichencleat.store.faulty import FaultyDisk, PowerCutError, by_chance
+from lichencleat.store.room import Bounds
+from lichencleat.store.store import Store
+
+SECOND = 1_000_000
+BOUNDS = Bounds(segment_bytes=64 << 10, disk_bytes=8 << 20, reserve=False)
+
+
+class Hands:
+    """The store's threads: works at once, or call by call where the test says so."""
+
+    def __init__(self):
+        self.calls, self.at_once, self.off = [], True, False
+
+    def __call__(self, call, *args):
+        if self.at_once:
+            return execute(self.guarded, call, *args)
+        told = Deferred()
+        self.calls.append((told, call, args))
+        return told
+
+    def guarded(self, call, *args):
+        return call(*args)
+
+    def work(self, most=1000):
+        while self.calls and most:
+            told, call, args = self.calls.pop(0)
+            most -= 1
+            execute(call, *args).chainDeferred(told)
+
+
+class Life:
+    """One start on a disk of memory."""
+
+    def __init__(self, disk, group="", seed=1):
+        self.disk, self.hands, self.clock, self.lines = disk, Hands(), Clock(), []
+        engine = Engine.open(disk, lambda: 5 * SECOND, random.Random(seed), BOUNDS, create=True)
+        self.store = Store(self.clock, engine, self.hands, self.hands, upkeep=False)
+        self.kept: Kept = result(made_kept(self.clock, self.store, group, self.lines.append))
+
+    def load(self):
+        return result(self.kept.load())
+
+    def stop(self):
+        result(self.kept.close())
+
+
+def result(told):
+    found = []
+    told.addBoth(found.append)
+    assert found, "it waits"
+    if isinstance(found[0], BaseException) or hasattr(found[0], "raiseException"):
+        found[0].raiseException()
+    return found[0]
+
+
+def change(name, value):
+    return Change("tenant", name, value)
+
+
+def step(table: Table, version: int, count: int = 3) -> Batch:
+    rng = random.Random(version)
+    names = rng.sample(range(60), count)
+    return table.apply(version, [change(f"t{name}", rng.choice([None, b"%d" % version])) for name in names])
+
+
+def same(one: Table, other: Table) -> bool:
+    return (one.version, one.digest, one.pages, one.records, one.bytes) == (
+        other.version,
+        other.digest,
+        other.pages,
+        other.records,
+        other.bytes,
+    )
+
+
+def test_what_was_written_is_there_at_the_next_start():
+    disk, table = FaultyDisk(), Table()
+    life = Life(disk, "fleet")
+    loaded, mark, recent = life.load()
+    assert same(loaded, Table()) and (mark, recent, life.kept.trouble) == (b"", [], "")
+    made = []
+    life.kept.mark(b"mark")
+    for version in range(1, 30):
+        made.append(step(table, version * 2))
+        life.kept.wrote(table, (made[-1],))
+    life.stop()
+    again = Life(FaultyDisk(disk.image()), "fleet")
+    loaded, mark, recent = again.load()
+    assert same(loaded, table)
+    assert (mark, recent, again.kept.trouble, again.lines) == (b"mark", made, "", [])
+    made.append(step(loaded, 100))  # and it goes on from there
+    again.kept.wrote(loaded, (made[-1],))
+    assert again.kept.counts["pages written"] <= 3
+    again.stop()
+    assert same(Life(FaultyDisk(again.disk.image())).load()[0], loaded)
+
+
+def test_a_snapshot_makes_an_end_of_the_batches_before_it():
+    disk, table = FaultyDisk(), Table()
+    life = Life(disk)
+    life.load()
+    for version in (1, 2, 3):
+        life.kept.wrote(table, (step(table, version),))
+    other = Table()
+    for version in (7, 8):
+        step(other, version, 40)
+    life.kept.replaced(other)
+    last = step(other, 9)
+    life.kept.wrote(other, (last,))
+    loaded, _, recent = Life(FaultyDisk(disk.image())).load()
+    assert same(loaded, other) and recent == [last]
+    assert life.kept.counts["pages written"] >= 30
+
+
+def test_recent_batches_are_bounded_and_go_round(monkeypatch):
+    monkeypatch.setattr(module, "RECENT_MOST", 8)
+    disk, table, made = FaultyDisk(), Table(), []
+    life = Life(disk)
+    life.load()
+    for version in range(1, 40):
+        made.append(step(table, version, 1))
+        life.kept.wrote(table, (made[-1],))
+    loaded, _, recent = Life(FaultyDisk(disk.image())).load()
+    assert same(loaded, table) and recent == made[-8:]
+    monkeypatch.setattr(module, "RECENT_BYTES", 300)
+    for version in range(40, 50):
+        made.append(table.apply(version, [change("big", bytes([version]) * 90)]))
+        life.kept.wrote(table, (made[-1],))
+    loaded, _, recent = Life(FaultyDisk(disk.image())).load()
+    assert same(loaded, table) and recent == made[-2:]
+    assert sum(1 for _ in life.store.scan(b"b")) == 2
+
+
+def test_while_the_disk_is_slow_one_write_takes_all_that_waits():
+    disk, table, made = FaultyDisk(), Table(), []
+    life = Life(disk)
+    life.load()
+    life.hands.at_once = False
+    for version in range(1, 51):
+        made.append(step(table, version))
+        life.kept.wrote(table, (made[-1],))
+    assert len(life.hands.calls) == 1
+    life.hands.work()
+    assert life.kept.counts["writes"] <= 3
+    loaded, _, recent = Life(FaultyDisk(disk.image())).load()
+    assert same(loaded, table) and recent == made
+
+
+@pytest.mark.parametrize("beside", [False, True])
+def test_a_cut_at_any_call_leaves_a_whole_version_and_none_older_than_confirmed(beside, monkeypatch):
+    if beside:  # each write is a snapshot that does not fit one commit
+        monkeypatch.setattr(module, "ONE_BYTES", 0)
+        monkeypatch.setattr(module, "PIECE_BYTES", 200)
+    states = {0: Table()}
+    at = 0
+    for fault in (FaultyDisk.CUT, FaultyDisk.CUT_AFTER):
+        call = 0
+        while True:
+            disk, table, confirmed = FaultyDisk(), Table(), 0
+            disk.faults[call] = fault
+            try:
+                life = Life(disk)
+                life.load()
+                for version in range(1, 11):
+                    batch = step(table, version, 12)
+                    states.setdefault(version, Table.loaded(version, table.pages))
+                    if version % 3:
+                        life.kept.wrote(table, (batch,))
+                    else:
+                        life.kept.replaced(table)
+                    if disk.off:
+                        break
+                    confirmed = version
+            except PowerCutError:
+                pass
+            if not disk.off:
+                break
+            at += 1
+            after = Life(disk.after_cut(by_chance(random.Random(call))))
+            loaded, _, recent = after.load()
+            assert after.kept.trouble == ""
+            assert loaded.version >= confirmed
+            assert same(loaded, states[loaded.version])
+            assert not recent or recent[-1].version == loaded.version
+            call += 1
+    assert at >= 2 * 2 * 10  # an append and a flush of each version, cut before and after
+
+
+def test_a_full_disk_is_told_once_counted_and_got_over():
+    disk, table = FaultyDisk(), Table()
+    life = Life(disk)
+    life.load()
+    life.kept.wrote(table, (step(table, 1),))
+    disk.room = disk.used()
+    for version in range(2, 6):
+        life.kept.wrote(table, (step(table, version),))
+    assert "not kept" in life.kept.trouble and len(life.lines) == 1
+    life.clock.advance(module.AGAIN)
+    assert (life.kept.counts["writes failed"], len(life.lines)) == (2, 1)
+    disk.room = None
+    life.clock.advance(module.AGAIN)
+    assert (life.kept.trouble, len(life.lines)) == ("", 2)
+    loaded, _, recent = Life(FaultyDisk(disk.image())).load()
+    assert same(loaded, table) and [each.version for each in recent] == [1, 2, 3, 4, 5]
+
+
+def test_closing_with_a_full_disk_ends():
+    disk, table = FaultyDisk(), Table()
+    life = Life(disk)
+    life.load()
+    disk.room = disk.used()
+    life.kept.wrote(table, (step(table, 1),))
+    life.stop()
+    assert life.clock.getDelayedCalls() == []
+
+
+def test_closing_waits_for_the_write_under_way_and_what_came_meanwhile():
+    disk, table = FaultyDisk(), Table()
+    life = Life(disk)
+    life.load()
+    life.hands.at_once = False
+    life.kept.wrote(table, (step(table, 1),))
+    life.kept.wrote(table, (step(table, 2),))
+    told = life.kept.close()
+    assert not told.called
+    life.hands.work()
+    assert told.called
+    assert same(Life(FaultyDisk(disk.image())).load()[0], table)
+
+
+def written(disk, count=5):
+    table, life = Table(), Life(disk)
+    life.load()
+    for version in range(1, count + 1):
+        life.kept.wrote(table, (step(table, version),))
+    return table, life
+
+
+def spoil_page(life, table, page):
+    """As one that goes wrong in memory on its way to the disk, with a digest that fits it or not."""
+    number = next(at for at in range(PAGES) if table.pages[at])
+    return number, Stored().put(page_key(number, 0), page(number, table.pages[number]))
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        lambda number, page: bytes(16) + pages.deflated(page),  # another digest
+        lambda number, page: pages.digest_of(number, page).to_bytes(16, "little") + b"torn",
+        lambda number, page: b"",
+        lambda number, page: (
+            pages.digest_of(number, page[:-1]).to_bytes(16, "little") + pages.deflated(page[:-1])
+        ),
+        lambda number, page: pages.digest_of(number, b"").to_bytes(16, "little") + pages.deflated(b""),
+    ],
+)
+def test_a_spoilt_page_is_found_and_nothing_of_it_used(page):
+    disk = FaultyDisk()
+    table, life = written(disk)
+    number, batch = spoil_page(life, table, page)
+    result(life.store.commit(batch))
+    after = Life(FaultyDisk(disk.image()))
+    loaded, mark, recent = after.load()
+    assert same(loaded, Table()) and (mark, recent) == (b"", [])
+    assert "spoilt" in after.kept.trouble and len(after.lines) == 1
+    other = Table()
+    step(other, 9, 30)
+    after.kept.replaced(other)  # and it is written over
+    assert after.kept.trouble == ""
+    assert same(Life(FaultyDisk(after.disk.image())).load()[0], other)
+
+
+def test_an_older_head_over_newer_pages_is_found():
+    disk = FaultyDisk()
+    table, life = written(disk)
+    head = life.store.engine.get(module.HEAD)
+    life.kept.wrote(table, (step(table, 9),))
+    result(life.store.commit(Stored().put(module.HEAD, head)))
+    after = Life(FaultyDisk(disk.image()))
+    assert same(after.load()[0], Table()) and "not those of version 5" in after.kept.trouble
+
+
+def test_batches_that_do_not_lead_to_the_version_are_left_out():
+    disk = FaultyDisk()
+    table, life = written(disk)
+    result(life.store.commit(Stored().put(module.batch_key(2), b"torn").delete(module.batch_key(0))))
+    loaded, _, recent = Life(FaultyDisk(disk.image())).load()
+    assert same(loaded, table) and [each.version for each in recent] == [4, 5]
+
+
+def test_somebody_elses_directory_is_refused_and_left_as_it_is():
+    disk = FaultyDisk()
+    engine = Engine.open(disk, lambda: 5 * SECOND, random.Random(1), BOUNDS, create=True)
+    engine.commit([Stored().put(b"key", b"value")])
+    engine.close()
+    image = disk.image()
+    with pytest.raises(UnfitError, match="something else"):
+        Life(disk)
+    assert disk.image() == image and not disk.locked
+    disk = FaultyDisk()
+    Life(disk, "fleet").stop()
+    with pytest.raises(UnfitError, match="'fleet'"):
+        Life(disk, "other")
+    Life(disk, "fleet").stop()
+    life = Life(disk)
+    result(life.store.commit(Stored().put(module.HEAD, module.encode((2, "", b"", 0, b"", b"", 0, 0)))))
+    life.store.close()
+    with pytest.raises(UnfitError, match="format 2"):
+        Life(disk)
+
+
+class Reactor(Clock):
+    """Runs in the test's thread what other threads hand over."""
+
+    def __init__(self):
+        super().__init__()
+        self.handed = queue.Queue()
+
+    def callFromThread(self, call, *args):  # noqa: N802
+        self.handed.put((call, args))
+
+    def callInThread(self, call, *args):  # noqa: N802
+        thread = threading.Thread(target=call, args=args)
+        thread.start()
+        self.callFromThread(thread.join)
+
+    def until(self, told):
+        """The Deferred's result; other threads have 20 s for it."""
+        results = []
+        told.addBoth(results.append)
+        while not results:
+            call, args = self.handed.get(timeout=20)
+            call(*args)
+        return results[0]
+
+
+def test_on_a_real_directory_with_threads(tmp_path):
+    reactor, table = Reactor(), Table()
+
+    def opened(group=""):
+        told = open_kept(reactor, str(tmp_path / "d"), lambda: 5 * SECOND, random.Random(1), group=group)
+        return reactor.until(told)
+
+    kept = opened("fleet")
+    assert opened("fleet").check(StoreError)  # in use
+    reactor.until(kept.load())
+    for version in range(1, 9):
+        kept.wrote(table, (step(table, version),))
+    reactor.until(kept.close())
+    assert opened("other").check(UnfitError)
+    again = opened("fleet")
+    loaded, _, recent = reactor.until(again.load())
+    assert same(loaded, table) and recent[-1].version == 8
+    reactor.until(again.close())
