Node: the fleet's configuration by relays, and which tenants there are by its table

A node whose file has a section distribution follows the relays of its zone; with tenants: true a request is refused where the table in force has no such tenant, the settings' list holds until there is a version. The relay has its disk. chosen/file.py checks addresses in one place. test_chosen: the known keys that a mistake lists have one more, all of them are compared now.

--- a/lichencleat/chosen/file.py
+++ b/lichencleat/chosen/file.py
@@ -12,6 +12,7 @@
 
 VARIABLE = "LICHENCLEAT_FILE"  # of the environment: where a node finds the file
 SIZE_MOST = 1 << 20  # bytes: a file of settings has some kilobytes
+SOURCES_MOST, TIERS_MOST = 32, 8  # addresses of relays in all, and lots of them from near to far
 PART = re.compile(r"\.([^.\[]+)|\[(\d+)\]|\[\.\.\.\]")  # of a path as msgspec says it
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
@@ -73,6 +74,20 @@
     revive: bool = False  # it takes part in the fleet's return after a power loss
 
 
+Tier = Annotated[list[Address], Meta(min_length=1, max_length=SOURCES_MOST)]
+Sources = Annotated[list[Tier], Meta(min_length=1, max_length=TIERS_MOST)]
+
+
+class DistributionChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    """The fleet's configuration, from the relays of its zone. Absent: it has none but its own files."""
+
+    group: Name  # of the voters for configuration
+    sources: Sources  # nearest first
+    zone: str = ""
+    directory: Annotated[str, Meta(min_length=1)] | None = None  # its last version is kept there
+    tenants: bool = False  # which tenants there are: the table's word, not the settings'
+
+
 class KeyedChoice(Struct, forbid_unknown_fields=True, frozen=True):
     """Receipts and results that outlive a restart. Absent: they end with the process."""
 
@@ -92,6 +107,7 @@
     flows: FlowsChoice | None = None
     keyed: KeyedChoice | None = None
     fleet: FleetChoice | None = None
+    distribution: DistributionChoice | None = None
     log: LogChoice | None = None  # absent: the node's plain lines
 
 
@@ -219,6 +235,8 @@
 
 def sense(path: str, place: Place, chosen: Chosen) -> None:
     """Values that are each in their form and do not fit together."""
+    if chosen.distribution is not None:
+        check_sources(path, place, chosen.distribution.sources)
     flows = chosen.flows
     if flows is None:
         return
@@ -229,14 +247,38 @@
             "a quiet flow has to be told before an open one, so make it smaller"
         )
     for at, each in enumerate(flows.collectors):
-        host, port = each.host_port()
-        octets = host.split(".") if "." in host else []
-        if not 0 < port <= 65_535 or any(int(octet) > 255 for octet in octets):
-            line = place.line(f"$.flows.collectors[{at}].address")
-            raise WrongFileError(
-                f"{path}, line {line}: flows.collectors[{at}].address: {each.address} is none; "
-                "write it as 192.0.2.7:4739 (names are not looked up)"
-            )
+        check_address(path, place, f"flows.collectors[{at}].address", each.address, "192.0.2.7:4739")
+
+
+def check_address(path: str, place: Place, where: str, address: str, example: str) -> None:
+    """Raises WrongFileError where it has the form of an address and is none."""
+    host, port = host_port(address)
+    octets = host.split(".") if "." in host else []
+    if not 0 < port <= 65_535 or any(int(octet) > 255 for octet in octets):
+        raise WrongFileError(
+            f"{path}, line {place.line('$.' + where)}: {where}: {address} is none; "
+            f"write it as {example} (names are not looked up)"
+        )
+
+
+def check_sources(path: str, place: Place, sources: list[list[str]], listen: str = "") -> None:
+    """`distribution.sources`. Raises WrongFileError. `listen`: of the process itself, which is no source."""
+    seen = {listen}
+    for tier, addresses in enumerate(sources):
+        for at, each in enumerate(addresses):
+            where = f"distribution.sources[{tier}][{at}]"
+            check_address(path, place, where, each, "192.0.2.7:7901")
+            if each in seen:
+                what = "is this process itself" if each == listen else "stands twice"
+                line = place.line("$." + where)
+                raise WrongFileError(f"{path}, line {line}: {where}: {each} {what}; leave it out")
+            seen.add(each)
+    if len(seen) - 1 > SOURCES_MOST:
+        line = place.line("$.distribution.sources")
+        raise WrongFileError(
+            f"{path}, line {line}: distribution.sources: {len(seen) - 1} addresses; {SOURCES_MOST} at the "
+            "most, and two of a tier are enough"
+        )
 
 
 def show(path: str) -> list[Shown]:
--- a/lichencleat/cli/relays.py
+++ b/lichencleat/cli/relays.py
@@ -106,7 +106,7 @@
     ]
     output.table(ZONE_HEAD, rows, False)
     click.echo("")
-    rows = []
+    rows, silent = [], []
     for address, each in sorted(found.items()):
         if isinstance(each, dict):
             late = sum(one["late"] for one in each["counts"])
@@ -114,5 +114,7 @@
             row = [each["version"], each["digest"][:12], age, each["subscribers"], late]
             rows.append([each["name"], address, *row])
         else:
-            rows.append(["", address, f"did not answer: {each}", "", "", "", ""])
+            silent.append(f"{address} did not answer: {each}")
     output.table(ASKED_HEAD, rows, False)
+    for line in silent:
+        click.echo(line)
--- a/lichencleat/distribution/program.py
+++ b/lichencleat/distribution/program.py
@@ -19,6 +19,7 @@
 from lichencleat.store.errors import StoreError
 
 STOPPED, WRONG = 0, 2  # exit codes
+STOP_MOST = 5.0  # s for the disk to take what it was given, once told to leave
 
 
 class Running:
@@ -29,7 +30,7 @@
         self.rng = random.Random(os.urandom(16))
         self.code = STOPPED
         self.relay: RelayProcess | None = None
-        self.stopping = False
+        self.stopping = self.stopped = False
         self.log = make_log(
             unix_time,
             chosen.log.form,
@@ -46,15 +47,17 @@
         if chosen.directory is not None:
             from lichencleat.distribution.kept import open_kept  # off means not imported: memory counts
 
+            disk = disk_of(chosen)
             try:
                 kept = yield open_kept(
-                    self.reactor, chosen.directory, unix_time, self.rng, disk=disk_of(chosen)
+                    self.reactor, chosen.directory, unix_time, self.rng, disk, chosen.group, self.disk_says
                 )
                 table, mark, recent = yield kept.load()
-                if kept.trouble:
-                    self.log.warning("disk", trouble=kept.trouble)
             except (StoreError, OSError) as wrong:  # it goes on without: what it lacks comes from above
-                self.log.warning("disk", trouble=str(wrong), goes_on="without")
+                self.disk_says(f"{wrong}; goes on without it")
+                if kept is not None:
+                    kept.close()
+                kept = None
         if self.stopping:
             yield kept.close() if kept is not None else None
             self.stop(STOPPED)
@@ -69,15 +72,21 @@
         self.log.info("started", listen=chosen.listen, version=table.version, records=table.records)
         self.relay.start()
 
+    def disk_says(self, what: str) -> None:
+        self.log.warning("disk", says=what)
+
     def told_to_leave(self) -> None:
         if self.stopping:
             return
         self.stopping = True
+        self.reactor.callLater(STOP_MOST, self.stop, STOPPED)  # guards the end, whatever the disk does
         if self.relay is not None:
             self.relay.stop().addBoth(lambda _: self.stop(STOPPED))
 
     def stop(self, code: int, reason: str = "") -> None:
-        self.code = code
+        if self.stopped:
+            return
+        self.stopped, self.code = True, code
         if reason:
             self.log.warning("can't start", reason=reason)
         else:
@@ -91,6 +100,7 @@
     if chosen.disk == "held back":
         from lichencleat.lab.rig.heldback import HeldBackDisk  # for tests: not imported otherwise
 
+        assert chosen.directory is not None
         return HeldBackDisk(chosen.directory, create=True)
     return None
 
--- a/lichencleat/distribution/relay.py
+++ b/lichencleat/distribution/relay.py
@@ -57,10 +57,7 @@
         self.counted_at = 0
         self.stopped = False
         now = self.now()
-        self.feeder = Feeder(chosen.name, chosen.zone, table, now)
-        if len(recent) > 1:  # a start feeds those behind from what the disk still tells of
-            self.feeder.window.restart(recent[0].version, recent[0].digest)
-            self.feeder.grew(now, tuple(recent[1:]))
+        self.feeder = Feeder(chosen.name, chosen.zone, table, now, recent)
         self.serving = Serving(reactor, self.feeder, self.now, log, self.also)
         tiers = tuple(map(tuple, chosen.sources))
         self.follower = Follower(tiers, self.copy, rng, now, False, chosen.zone)
--- a/lichencleat/distribution/subscriber.py
+++ b/lichencleat/distribution/subscriber.py
@@ -15,10 +15,11 @@
 from twisted.internet.protocol import ClientFactory
 
 from lichencleat.chosen.file import host_port
+from lichencleat.distribution.acts import Act, Decision
 from lichencleat.distribution.copy import Copy
 from lichencleat.distribution.counts import OLDEST
 from lichencleat.distribution.errors import TableError
-from lichencleat.distribution.follow import Act, Decision, Follower
+from lichencleat.distribution.follow import Follower
 from lichencleat.distribution.serving import Log
 from lichencleat.distribution.terms import (
     DIGESTS,
--- a/lichencleat/net/assembly.py
+++ b/lichencleat/net/assembly.py
@@ -81,12 +81,20 @@
             self.fleet = FleetNode(
                 reactor, told.name, chosen.fleet, self.host, self.keyed, unix_time, rng, events
             )
+        self.distributed: Any = None
+        if chosen is not None and chosen.distribution is not None:
+            from lichencleat.net.tenants import Distributed  # off means not imported: memory counts
+
+            rng, choice = Random(os.urandom(16)), chosen.distribution
+            self.distributed = Distributed(
+                reactor, told.name, choice, told.tenants, unix_time, rng, self.report
+            )
         self.dispatchers = Dispatchers(
             self.host,
             self.deadlines,
             self.report,
             told.descriptors,
-            told.tenants,
+            self.distributed.tenants if self.distributed is not None else told.tenants,
             self.flows,
             told.memory or MEMORY_LEAST,
         )
@@ -110,6 +118,8 @@
             self.flows.start()
         if self.fleet is not None:
             self.fleet.start()
+        if self.distributed is not None:
+            self.distributed.start().addErrback(self.cant_follow)
         if self.keyed is not None:
             from lichencleat.keyed.assembly import start_keeper
 
@@ -123,6 +133,11 @@
         self.dispatchers.stop_listening()
         self.end_at_once()
 
+    def cant_follow(self, failure: Any) -> None:
+        """A fault of ours: the node goes on with what it has."""
+        self.report.count("node", "errors")
+        self.report.note(f"error in distribution: {failure.getErrorMessage()}")
+
     def tell_beliefs(self) -> None:
         """One line with what the node believes, to be compared with what its peers see."""
         self.deadlines.after(BELIEFS, self.tell_beliefs)
@@ -134,6 +149,8 @@
             beliefs.append(f"fleet: {self.fleet.beliefs()}")
         if self.keyed is not None:
             beliefs.append(f"keyed: {self.keyed.beliefs()}")
+        if self.distributed is not None:
+            beliefs.append(f"distribution: {self.distributed.beliefs()}")
         self.report.note("believes: " + "; ".join(beliefs))
 
     def reload(self, told: Told, chosen: Any = None) -> None:
@@ -151,6 +168,8 @@
             "settings": "mark",
         }
         waits = [key for key, name in fixed.items() if getattr(told, name) != getattr(self.told, name)]
+        if self.distribution_of(chosen) != self.distribution_of(self.chosen):
+            waits.append("distribution")
         self.told.stop_after = told.stop_after
         self.report.count("node", "configurations read")
         moved = ", ".join(name for name, did in moves.items() if did) or "nothing"
@@ -158,6 +177,10 @@
         flows = f"; {self.flows.reload(chosen.flows if chosen else None)}" if self.flows is not None else ""
         self.report.note(f"configuration read again: {moved} moved{late}{flows}")
 
+    @staticmethod
+    def distribution_of(chosen: Any) -> Any:
+        return chosen.distribution if chosen is not None else None
+
     def leave(self) -> None:
         """The notice to leave: only the first one counts."""
         if self.stop_at is None:
@@ -209,6 +232,8 @@
             flushed.append(self.flows.flush(left))
         if self.keyed is not None:
             flushed.append(self.keyed.close())
+        if self.distributed is not None:  # it followed until now: what is in hand goes by its word
+            flushed.append(self.distributed.stop())
         if not flushed:
             self.over()
             return
--- a/lichencleat/net/dispatchers.py
+++ b/lichencleat/net/dispatchers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from functools import partial
 from typing import Any
 
@@ -365,7 +366,7 @@
         deadlines: Deadlines,
         report: Report,
         descriptors: int,
-        tenants: frozenset[bytes] = frozenset(),
+        tenants: Container[bytes] = frozenset(),
         flows: Any = None,
         memory: int = MEMORY_LEAST,
     ) -> None:
--- a/lichencleat/net/requests.py
+++ b/lichencleat/net/requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from hashlib import blake2b
 
 from lichencleat.net.host import Case, Host
@@ -45,9 +45,12 @@
 
 
 def read_request(
-    words: list[bytes], host: Host, tenants: frozenset[bytes], reply: Callable[..., None]
+    words: list[bytes], host: Host, tenants: Container[bytes], reply: Callable[..., None]
 ) -> tuple[Case, bytes]:
-    """The request in hand, and its tenant. Raises BadRequestError with what is wrong."""
+    """The request in hand, and its tenant. Raises BadRequestError with what is wrong.
+
+    `tenants`: those that there are; false at a site without them.
+    """
     if not 4 <= len(words) <= 5:
         raise BadRequestError(f"{len(words)} words")
     body = words[4] if len(words) == 5 else b""
--- a/lichencleat/net/tenants.py
+++ b/lichencleat/net/tenants.py
@@ -8,18 +8,20 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred, inlineCallbacks, succeed
 
 from lichencleat.distribution.copy import TableCopy
 from lichencleat.distribution.follow import Follower
-from lichencleat.distribution.kept import Kept, open_kept
 from lichencleat.distribution.subscriber import Subscriber
 from lichencleat.distribution.table import Table
 from lichencleat.distribution.terms import Batch
 from lichencleat.store.errors import StoreError
 
+if TYPE_CHECKING:
+    from lichencleat.distribution.kept import Kept
+
 TENANT = "tenant"  # a record's kind; its name is what a request bears
 SECOND = 1_000_000  # µs
 
@@ -75,21 +77,32 @@
     @inlineCallbacks
     def start(self) -> Any:
         """What is on the disk is in force once it is checked; where none is whole, nothing is."""
-        table, recent = Table(), []
+        table = Table()
         if self.chosen.directory is not None:
+            from lichencleat.distribution.kept import open_kept  # off means not imported: memory counts
+
             try:
-                self.kept = yield open_kept(self.reactor, self.chosen.directory, self.unix, self.rng)
-                table, self.mark, recent = yield self.kept.load()
-                if self.kept.trouble:
-                    self.disk_trouble(self.kept.trouble)
-            except (StoreError, OSError) as wrong:
-                self.disk_trouble(str(wrong))
+                self.kept = yield open_kept(
+                    self.reactor,
+                    self.chosen.directory,
+                    self.unix,
+                    self.rng,
+                    group=self.chosen.group,
+                    tell=self.disk_says,
+                )
+                table, self.mark, _ = yield self.kept.load()
+            except (StoreError, OSError) as wrong:  # it goes on without: what it lacks comes from a relay
+                self.disk_says(f"{wrong}; goes on without it")
+                kept, self.kept = self.kept, None
+                if kept is not None:
+                    kept.close()
         if not self.stopped:
             self.follow(table)
+        elif self.kept is not None:
+            self.kept.close()
 
-    def disk_trouble(self, what: str) -> None:
-        """It goes on without: what it lacks comes from a relay."""
-        self.report.count("distribution", "troubles of the disk")
+    def disk_says(self, what: str) -> None:
+        self.report.count("distribution", "words of the disk")
         self.log.warning("distribution", disk=what)
 
     def follow(self, table: Table) -> None:
--- a/tests/distribution/test_relay_file.py
+++ b/tests/distribution/test_relay_file.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from lichencleat.chosen.file import WrongFileError
+from lichencleat.chosen.file import SOURCES_MOST, WrongFileError, read_file
 from lichencleat.distribution.file import read_relay
+from lichencleat.distribution.terms import RELAYS_MOST
 
 GOOD = """distribution:
   group: config
@@ -39,6 +40,31 @@
     assert read_relay(f"{Path(__file__).parents[2]}/deploy/relays/{name}.yaml").group == "config"
 
 
+def test_a_node_s_section_is_read_and_its_mistakes_are_told(file):
+    chosen = read_file(f"{Path(__file__).parents[2]}/deploy/relays/node.yaml").distribution
+    assert (chosen.zone, chosen.tenants, chosen.directory) == ("north-a", True, None)
+    assert read_file(file("")).distribution is None and SOURCES_MOST == RELAYS_MOST
+    for text, told in (
+        (
+            "distribution: {group: g, sources: [[1.1.1.1:7, 1.1.1.1:7]]}",
+            "sources[0][1]: 1.1.1.1:7 stands twice",
+        ),
+        (
+            "distribution: {group: g, sources: []}",
+            "line 1: distribution.sources: Expected `array` of length >= 1",
+        ),
+        ("distribution: {group: g, sources: [[1.1.1.1:7]], listen: x}", "unknown key 'listen'"),
+        ("distribution: {sources: [[1.1.1.1:7]]}", "missing required field `group`"),
+        (
+            "distribution: {group: g, sources: [[1.1.1.1:7]], tenants: 1}",
+            "distribution.tenants: Expected `bool`",
+        ),
+    ):
+        with pytest.raises(WrongFileError) as wrong:
+            read_file(file(text))
+        assert told in str(wrong.value)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "told"),
     [
--- a/tests/test_chosen.py
+++ b/tests/test_chosen.py
@@ -60,7 +60,11 @@
         ("  to: first that lives", "  domain: x", "line 6: flows.domain: Expected `int`, got `str`"),
         ("  to: first that lives", "  to: all\n  to: all", "line 7: 'to' stands twice"),
         ("  to: first that lives", "  to: [", "not YAML"),
-        ("flows:", "flow:", "line 1: the file: unknown key 'flow'; known here: fleet, flows, keyed"),
+        (
+            "flows:",
+            "flow:",
+            "line 1: the file: unknown key 'flow'; known here: distribution, fleet, flows, keyed, log",
+        ),
         (GOOD, "- a\n", "the file: Expected `object`, got `array`"),
         (GOOD, "flows: {}\n", "line 1: flows: Object missing required field `collectors`"),
         (GOOD, "flows: {collectors: []}\n", "line 1: flows.collectors: Expected `array` of length >= 1"),
