--- a/benchmarks/capacity/members.py
+++ b/benchmarks/capacity/members.py
@@ -1,7 +1,9 @@
 """A member of the gossip, by the members: the real decisions and codec in simulated time, each call timed.
 
 What the simulation itself costs is not counted, and neither are the sockets: a real process has some 30 to
-50 µs more for each datagram. All know each other from the start, so that only the calm is measured.
+50 µs more for each datagram. All know each other from the start. In calm nobody comes or goes; else members
+are restarted as often as the target's nodes are: while a word is on its way, tables differ, and whoever
+compares them sends all it knows.
 """
 
 from __future__ import annotations
@@ -20,7 +22,9 @@
 from lichencleat.members.table import Table
 from lichencleat.members.terms import Datagram
 
-WARM, SPAN = 3, 10  # simulated seconds before, and measured
+WARM, SPAN = 3, 10  # simulated seconds before, and measured, in calm
+RESTARTS = 20_000 / 86_400 / 3_300  # a second of each member, as at the target
+SEEN = 2  # restarts in what is measured, at each size
 decode = msgspec.msgpack.Decoder(Datagram).decode
 clock = time.perf_counter_ns
 
@@ -117,22 +121,46 @@
     return (after - before) / 1e6
 
 
+def over(world: MembersWorld, timed: Timed, span: float, restarts: int) -> tuple[float, float, float]:
+    """A member's share of a core, bytes and datagrams a second, over so many simulated seconds."""
+    timed.take()
+    world.counts.clear()
+    for _ in range(restarts):
+        world.run(round(span / restarts / 2 * SECOND))
+        one = world.rng.choice(world.instances)
+        one.kill()
+        one.start()
+        world.run(round(span / restarts / 2 * SECOND))
+    if not restarts:
+        world.run(round(span * SECOND))
+    each = span * len(world.instances)
+    return timed.take() / each, world.counts["bytes"] / each, world.counts["datagrams"] / each
+
+
 def members(effort: Effort) -> list[Line]:
     lines = Lines("members", simulated=True)
-    lines.kind("member.core", "members", "of a core", "without sockets")
-    lines.kind("member.bytes_s", "members", "bytes a second", "sent; in calm, without headers")
-    lines.kind("member.datagrams_s", "members", "datagrams a second", "sent")
+    lines.kind("member.core", "members", "of a core", "restarts as at the target; without sockets")
+    lines.kind(
+        "member.bytes_s", "members", "bytes a second", "sent, without headers; restarts as at the target"
+    )
+    lines.kind("member.datagrams_s", "members", "datagrams a second", "sent; restarts as at the target")
+    lines.kind("member.calm_core", "members", "of a core", "nobody comes or goes; without sockets")
+    lines.kind(
+        "member.calm_bytes_s", "members", "bytes a second", "sent, without headers; nobody comes or goes"
+    )
     lines.kind("member.table_mb", "members", "MB")
     for number in range(effort.runs(2)):
         for count in effort.sizes((100, 200, 400, 700, 1_000), (5, 10, 15, 20)):
             timed = Timed()
             world = together(count, effort.seed + number, timed)
             world.run(WARM * SECOND)
-            timed.take()
-            world.counts.clear()
-            world.run(SPAN * SECOND)
-            lines.add("member.core", count, timed.take() / SPAN / count)
-            lines.add("member.bytes_s", count, world.counts["bytes"] / SPAN / count)
-            lines.add("member.datagrams_s", count, world.counts["datagrams"] / SPAN / count)
+            core, sent, _ = over(world, timed, SPAN, 0)
+            lines.add("member.calm_core", count, core)
+            lines.add("member.calm_bytes_s", count, sent)
+            span = WARM if effort.quick else SEEN / (count * RESTARTS)
+            core, sent, datagrams = over(world, timed, span, SEEN)
+            lines.add("member.core", count, core)
+            lines.add("member.bytes_s", count, sent)
+            lines.add("member.datagrams_s", count, datagrams)
             lines.add("member.table_mb", count, table_mb(count, effort.seed))
     return lines.made()
--- a/lichencleat/capacity/slopes.py
+++ b/lichencleat/capacity/slopes.py
@@ -1,7 +1,8 @@
 """What was measured of each role at several sizes, and what a line through it says of other sizes; no I/O.
 
 A figure beyond the sizes that were measured is an extrapolation: along the line through all measured points;
-where these bend upwards, from the last two on, by a line or a power law, whichever says more.
+where these bend upwards, from the last two on, by a line or a power law, whichever says more. Noise that
+bends upwards is taken for a bend: the plan errs on that side.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 RUNS_MOST = 64  # of a point
 STRAY = 0.25  # of what the points before foretell: one that is further off ends the line
 LEAST_POINTS = 2  # that a line can be laid through
-BENT = 1.25  # times the slope of all: a last stretch that is steeper, of points on no line, bends upwards
+BENT = 1.25  # times the slope before it: a last stretch that is steeper, of points on no line, bends upwards
 SIZE_MOST = 1e12  # up to which a size that breaks is looked for
 
 
@@ -76,24 +77,12 @@
         return "bent" if self.bends() else "line"
 
     def bends(self) -> bool:
-        """Do its last points lie above where a line would have them?"""
-        found = self.fit()
-        one, other = self.points[-2:]
-        steep = (other.value - one.value) / (other.size - one.size)
-        return not found.straight and steep > BENT * max(found.slope, 0.0)
-
-    def breaks_at(self, budget: float) -> float | None:
-        """The largest size at which the value is within the budget; None: it never leaves it."""
-        if self.at(SIZE_MOST) <= budget:
-            return None
-        low, high = 0.0, SIZE_MOST
-        while high - low > max(0.5, low * 1e-6):
-            middle = (low + high) / 2
-            if self.at(middle) <= budget:
-                low = middle
-            else:
-                high = middle
-        return low
+        """Are they on no line, and the last stretch is steeper than all before it?"""
+        if len(self.points) < 3 or self.fit().straight:
+            return False
+        first, one, other = self.points[0], *self.points[-2:]
+        before = (one.value - first.value) / (one.size - first.size)
+        return (other.value - one.value) / (other.size - one.size) > BENT * max(before, 0.0)
 
 
 class Ran(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/tests/capacity/test_plan.py
@@ -0,0 +1,186 @@
+"""The plan: what holds, what breaks at which size, in which order; the code's own bounds; the machines."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_slopes import line, slopes
+
+from lichencleat.capacity import bounds, needs
+from lichencleat.capacity.machines import PUBLISHER, REGION, VOTER, ZONE, deal_out, left
+from lichencleat.capacity.plan import at, in_order, largest_within, limit, made, row
+from lichencleat.capacity.target import Target, Tree, read_target
+from lichencleat.members import table as members
+from lichencleat.quorum import group
+
+ROOT = Path(__file__).resolve().parents[2]
+FIXED = settings(derandomize=True, deadline=None, max_examples=60)
+TARGET = read_target(str(ROOT / "deploy" / "target.yaml"))
+NEED = {each.figure: each for each in (*needs.NEEDS, *needs.CARRIED)}
+
+
+def named(name, *pairs):
+    return msgspec.structs.replace(line(*pairs), name=name)
+
+
+def test_the_target_is_what_the_operators_gave():
+    assert (TARGET.nodes, TARGET.callers, TARGET.services) == (3_300, 130_000, 7_700)
+    assert (TARGET.requests_per_s, TARGET.records, TARGET.added_p99_ms) == (2_200_000, 560_000, 3.4)
+    assert (TARGET.regions, TARGET.zones, TARGET.zone_nodes) == (6, 17, 195)
+    assert (TARGET.changes_per_day, TARGET.in_force_s, TARGET.machines) == (47_000, 5, 25)
+    control = TARGET.control
+    assert (control.core_share, control.memory_mb, control.bytes_per_s) == (0.014, 64, 4_096)
+    assert (TARGET.failures_per_day, TARGET.restarts_per_day, TARGET.rack) == (160, 20_000, 40)
+
+
+def test_a_row_is_held_to_its_budget_and_says_how_far_it_is_extrapolated():
+    need = NEED["each node a member: processor time"]
+    found = row(
+        need, named("member.core", (100, 0.0001), (200, 0.0002), (400, 0.0004), (1_000, 0.001)), TARGET
+    )
+    assert found.value == pytest.approx(0.0033) and found.holds
+    assert found.beyond == 3.3 and found.way == "line"
+    assert found.breaks_at == pytest.approx(14_000, rel=1e-3)
+    found = row(need, named("member.core", (100, 0.001), (200, 0.002), (400, 0.004), (1_000, 0.01)), TARGET)
+    assert not found.holds and found.breaks_at == pytest.approx(1_400, rel=1e-3)
+
+
+def test_what_was_not_measured_is_no_figure_and_holds_nothing():
+    found = row(NEED["each node a member: processor time"], None, TARGET)
+    assert (found.value, found.holds, found.breaks_at) == (None, None, None)
+    plan = made(slopes(), TARGET)
+    assert all(each.value is None for each in plan.rows)
+    assert all(each.value is None for each in plan.control)
+
+
+@FIXED
+@given(
+    st.sampled_from([each for each in NEED.values() if each.budget is not None]),
+    st.floats(0.0, 2.0),
+    st.floats(1e-6, 5.0),
+    st.floats(0.5, 2.5),
+)
+def test_the_size_that_breaks_is_the_last_one_within_the_budget(need, base, slope, exponent):
+    some = named(need.line, *((size, base + slope * size**exponent) for size in (1, 10, 100, 1_000)))
+    budget = need.budget.most(TARGET)
+    size = largest_within(need, some, TARGET, budget)
+    if size is None:
+        assert at(need, some, TARGET, 1e12) <= budget
+        return
+    assert size == 0 or at(need, some, TARGET, size) <= budget * (1 + 1e-9)
+    assert at(need, some, TARGET, size * 1.001 + 0.05) > budget
+
+
+def test_bounds_are_read_where_they_stand():
+    by_name = {each.name: each.bound for each in bounds.BOUNDS}
+    assert by_name["members.table.MEMBERS_MOST"] == members.MEMBERS_MOST
+    assert by_name["quorum.group.MEMBERS_MOST"] == group.MEMBERS_MOST
+    for each in bounds.BOUNDS:
+        if each.bound is not None:
+            module, _, constant = each.name.rpartition(".")
+            found = __import__(f"lichencleat.{module}", fromlist=[constant])
+            assert getattr(found, constant) == each.bound
+
+
+def test_what_ends_at_the_smallest_share_comes_first():
+    rows = [
+        row(NEED["each node a member: processor time"], named("member.core", (1, 0.001), (2, 0.002)), TARGET),
+        row(NEED["each node a member: memory"], named("member.table_mb", (1, 0.1), (2, 0.2)), TARGET),
+        row(NEED["each node a member: bytes sent"], named("member.bytes_s", (1, 0.1), (2, 0.2)), TARGET),
+    ]
+    limits = [limit(each, TARGET) for each in bounds.BOUNDS]
+    found = in_order(rows, limits)
+    assert [each.share for each in found] == sorted(each.share for each in found)
+    assert found[0].what == "each node a member: processor time" and found[0].at == pytest.approx(14, abs=0.1)
+    assert "each node a member: bytes sent" not in [each.what for each in found]
+    assert {each.what for each in limits if not each.holds} <= {each.what for each in found}
+
+
+def test_control_of_a_node_is_the_sum_of_its_parts():
+    some = [
+        named("subscriber.bytes_s", (0.1, 300), (1, 600)),
+        named("table.snapshot_mb", (1_000, 0.03), (560_000, 16.8)),
+    ]
+    plan = made(slopes(*some), TARGET)
+    parts = [each.value for each in plan.rows if each.control == "bytes"]
+    whole = next(each for each in plan.control if each.kind == "bytes")
+    assert whole.value == pytest.approx(sum(parts)) and len(parts) == 2
+    assert parts[1] == pytest.approx(16.8e6 * 20_000 / 86_400 / 3_300)
+    assert next(each for each in plan.control if each.kind == "core").value is None
+
+
+# -- the machines ------------------------------------------------------------------------------------------
+
+
+def test_the_machines_of_the_target_bear_one_lost_and_a_zone():
+    dealt = deal_out(TARGET)
+    assert dealt.short == 0
+    assert (dealt.count(VOTER), dealt.count(PUBLISHER)) == (5, 2)
+    assert (dealt.count(REGION), dealt.count(ZONE)) == (12, 34)
+    regions = {each.region for each in dealt.machines if (VOTER, 0) in each.runs}
+    assert len(regions) == 5  # no region takes two voters with it
+    assert dealt.failed.majority and dealt.failed.uncovered == 0
+    assert dealt.both.majority and dealt.both.voters == 3
+
+
+targets = st.builds(
+    lambda nodes, zones, regions, machines, voters, relays: Target(
+        nodes=nodes + zones,
+        callers=1,
+        services=1,
+        requests_per_s=1.0,
+        routes=1,
+        tenants=1,
+        added_p99_ms=1.0,
+        regions=min(regions, zones),
+        zones=zones,
+        changes_per_day=1.0,
+        in_force_s=1.0,
+        machines=machines,
+        failures_per_day=0.0,
+        restarts_per_day=1.0,
+        tree=Tree(voters=voters, relays_a_zone=relays),
+    ),
+    st.integers(1, 5_000),
+    st.integers(1, 20),
+    st.integers(1, 8),
+    st.integers(1, 40),
+    st.sampled_from([1, 3, 5]),
+    st.integers(1, 3),
+)
+
+
+@FIXED
+@given(targets)
+def test_every_process_has_a_place_or_is_told_as_short(target):
+    dealt = deal_out(target)
+    tree = target.tree
+    wanted = tree.voters + tree.publishers + target.regions * tree.relays_a_region
+    wanted += target.zones * tree.relays_a_zone
+    assert sum(len(each.runs) for each in dealt.machines) + dealt.short == wanted
+    for each in dealt.machines:
+        assert len(set(each.runs)) == len(each.runs)  # no two of a kind on one machine
+    assert dealt.whole.voters >= dealt.failed.voters >= dealt.both.voters
+    assert dealt.whole.uncovered <= dealt.failed.uncovered  # with a zone, its own are not counted
+
+
+def test_relays_of_a_zone_on_one_machine_are_found():
+    dealt = deal_out(TARGET)
+    first = next(each for each in dealt.machines if (ZONE, 3) in each.runs)
+    for each in dealt.machines:
+        if (ZONE, 3) in each.runs and each is not first:
+            each.runs.remove((ZONE, 3))
+    assert left(TARGET, dealt.machines, None, None).uncovered == 0
+    assert left(TARGET, dealt.machines, first, None).uncovered == 1
+    assert left(TARGET, dealt.machines, None, None).subscribers == TARGET.zone_nodes
+
+
+def test_voters_that_share_a_zone_lose_their_majority_with_it():
+    dealt = deal_out(TARGET)
+    for each in dealt.machines:
+        each.runs = [run for run in each.runs if run[0] != VOTER]
+    for each in [each for each in dealt.machines if each.zone in (0, 1)][:3]:
+        each.runs.append((VOTER, 0))
+    assert not left(TARGET, dealt.machines, None, 0).majority
