Distribution: voters, relays and nodes as real processes, with faults between them

Three voters, two regions, two relays a zone and watchers that write down what they answer; tapped links show what was acknowledged. Drawn schedules and hollow nodes as commands, not run yet.

--- /dev/null
+++ b/lichencleat/lab/rig/distribution.py
@@ -0,0 +1,519 @@
+"""The configuration's distribution by real processes: three voters, a relay for each region, two for each
+zone, nodes that hold a table, and a tapped link before each process that is called.
+
+What every node says that it answers is read as it comes and judged, together with what it acknowledged.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+
+from lichencleat.clocks import unix_time
+from lichencleat.distribution.kept import PAGE, STORE
+from lichencleat.distribution.source import Publish, Published
+from lichencleat.distribution.terms import Change
+from lichencleat.distribution.voting import PART
+from lichencleat.lab.checkers.distribution import (
+    LEFT,
+    PAIR,
+    RIGHT,
+    TENANT,
+    Acknowledged,
+    DistributionWatch,
+    Said,
+)
+from lichencleat.lab.rig.heldback import FULL
+from lichencleat.lab.rig.relay import CLIENT, LOCAL
+from lichencleat.lab.rig.rig import GROUP, PATIENCE, Rig, Voter, free_port
+from lichencleat.lab.rig.tap import TappedRelays, moment
+from lichencleat.quorum.client import Client, GroupError
+from lichencleat.store.batch import Batch
+from lichencleat.store.disk import RealDisk
+from lichencleat.store.engine import Engine
+
+ROOT = Path(__file__).resolve().parents[3]
+PAIRS, TENANTS = 8, 8  # records that are looked at
+BULK, BULK_EACH = 2_000, 60  # routes, and those changed by a batch: it takes several slices
+FILLED = 400  # records of a batch that fills the table
+SERIAL = "serial/all"  # the number of the batch
+TIMES = {  # µs: what takes minutes in the field takes seconds here, as a test has no more
+    "home": (500_000, 1_500_000),
+    "failed": (500_000, 1_500_000),
+    "wrong": (1_000_000, 3_000_000),
+    "busy": (200_000, 600_000),
+    "rest": (200_000, 1_000_000),
+    "look": (500_000, 2_000_000),
+}
+
+encode_value = msgspec.json.Encoder(order="sorted").encode
+
+
+def change(name: str, value: Any) -> Change:
+    kind, _, rest = name.partition("/")
+    return Change(kind, rest, None if value is None else encode_value(value))
+
+
+def looked_at() -> list[str]:
+    """Names of the records that each node tells."""
+    pairs = [f"{PAIR}/{side}{number}" for number in range(PAIRS) for side in (LEFT, RIGHT)]
+    return [*pairs, *(f"{TENANT}/t{number}" for number in range(TENANTS)), SERIAL]
+
+
+def batch_of(number: int, rng: random.Random) -> dict[str, Any]:
+    """Records that hold whole or not at all: two of a pair, tenants, routes in bulk."""
+    pair = {"n": number} if number % 7 else None  # now and then both go
+    made: dict[str, Any] = {f"{PAIR}/{side}{number % PAIRS}": pair for side in (LEFT, RIGHT)}
+    for each in rng.sample(range(TENANTS), 3):
+        made[f"{TENANT}/t{each}"] = {"tenant": f"t{each}", "n": number}
+    for each in rng.sample(range(BULK), BULK_EACH):
+        made[f"route/r{each}"] = {"n": number, "to": "x" * rng.randrange(40, 160)}
+    made[SERIAL] = {"n": number}
+    return made
+
+
+class Child:
+    """A process of the rig behind a tapped link, with a directory and a log that outlive it."""
+
+    def __init__(self, rig: DistributionRig, name: str, zone: str) -> None:
+        self.rig, self.name, self.zone = rig, name, zone
+        self.directory = rig.path / name
+        self.file, self.log = rig.path / f"{name}.yaml", rig.path / f"{name}.log"
+        self.running: subprocess.Popen | None = None
+        self.copies = 0
+
+    def words(self) -> list[str]:
+        raise NotImplementedError
+
+    def start(self) -> None:
+        with open(self.log, "ab") as log:
+            self.running = subprocess.Popen(
+                [sys.executable, "-m", *self.words()], cwd=ROOT, stderr=log, env=self.rig.variables(self.name)
+            )
+        self.rig.children.append(self.running)
+
+    def up(self) -> bool:
+        return self.running is not None and self.running.poll() is None
+
+    def signal(self, number: int) -> None:
+        if self.up():
+            os.kill(self.running.pid, number)  # type: ignore[union-attr]
+
+    def kill(self) -> None:
+        """Where its disk holds back what was not flushed, this is a cut of power."""
+        self.signal(signal.SIGKILL)
+        self.ended()
+
+    def ended(self) -> int:
+        assert self.running is not None
+        return self.running.wait(PATIENCE)
+
+    def stop(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self.signal(signal.SIGCONT)
+
+    def fill_disk(self) -> None:
+        (self.rig.path / f"{self.name}{FULL}").touch()
+
+    def empty_disk(self) -> None:
+        (self.rig.path / f"{self.name}{FULL}").unlink(missing_ok=True)
+
+    def copy_directory(self) -> Path:
+        """As it is at one moment; the process stands still meanwhile."""
+        self.copies += 1
+        to = self.rig.path / f"{self.name}.copy{self.copies}"
+        self.stop()
+        shutil.copytree(self.directory, to)
+        self.go_on()
+        return to
+
+    def put_back(self, copy: Path) -> None:
+        """Its directory is that copy; it must be down."""
+        shutil.rmtree(self.directory)
+        shutil.copytree(copy, self.directory)
+
+    def spoil_file(self, rng: random.Random) -> str:
+        """A byte of what it keeps is another one; it must be down. Which, for the report."""
+        files = sorted(each for each in self.directory.rglob("*") if each.is_file() and each.stat().st_size)
+        if not files:
+            return "nothing kept"
+        file = rng.choices(files, [each.stat().st_size for each in files])[0]
+        data = bytearray(file.read_bytes())
+        at = rng.randrange(len(data))
+        data[at] ^= rng.randrange(1, 256)
+        file.write_bytes(data)
+        return f"{self.name}/{file.name} at {at} of {len(data)}"
+
+    def tear_file(self, rng: random.Random) -> None:
+        """The end of a file that it keeps is lost; it must be down."""
+        files = sorted(each for each in self.directory.rglob("*") if each.is_file() and each.stat().st_size)
+        if files:
+            file = rng.choice(files)
+            os.truncate(file, rng.randrange(file.stat().st_size))
+
+    def take_over(self, other: Child) -> None:
+        """Begins with what that one has kept; both must be down."""
+        shutil.copytree(other.directory, self.directory)
+
+    def half_a_write(self, rng: random.Random) -> int:
+        """A part of its pages is as before they were written, the head is not; it must be down. How many."""
+        engine = Engine.open(RealDisk(str(self.directory)), unix_time, rng, STORE)
+        try:
+            there = [key for key, _ in engine.scan(PAGE)]
+            lost = rng.sample(there, len(there) // 2)
+            batch = Batch()
+            for key in lost:
+                batch.delete(key)
+            assert engine.commit([batch]) == [None]
+            return len(lost)
+        finally:
+            engine.close()
+
+
+class RelayProcess(Child):
+    """`lichencleat distribution run`."""
+
+    def __init__(
+        self, rig: DistributionRig, name: str, zone: str, sources: list[list[str]], keeps: bool = True
+    ) -> None:
+        super().__init__(rig, name, zone)
+        self.port = free_port(rig.reserved)
+        self.before = self.port if rig.direct else rig.relays.before(name, self.port)
+        self.chosen = {
+            "group": GROUP,
+            "name": name,
+            "zone": zone,
+            "listen": f"{LOCAL}:{self.port}",
+            "sources": sources,
+        }
+        if keeps:
+            self.chosen |= {"directory": str(self.directory), "disk": rig.disk}
+        self.file.write_text(yaml.safe_dump({"distribution": self.chosen}))
+
+    @property
+    def address(self) -> str:
+        return f"{LOCAL}:{self.before}"
+
+    def words(self) -> list[str]:
+        return ["lichencleat", "distribution", "run", str(self.file)]
+
+
+class Watcher(Child):
+    """A node's part alone: the real subscriber and table; it writes down what it answers."""
+
+    def __init__(
+        self,
+        rig: DistributionRig,
+        name: str,
+        zone: str,
+        sources: list[list[str]],
+        keeps: bool = True,
+        mistake: str = "",
+    ) -> None:
+        super().__init__(rig, name, zone)
+        self.said = rig.path / f"{name}.said"
+        self.read = 0  # bytes of it
+        self.lines: list[dict[str, Any]] = []
+        self.mistake = mistake
+        chosen = {
+            "group": GROUP,
+            "name": name,
+            "zone": zone,
+            "sources": sources,
+            "said": str(self.said),
+            "looks_at": looked_at(),
+            "times": {key: list(value) for key, value in rig.watchers_times.items()},
+        }
+        if keeps:
+            chosen |= {"directory": str(self.directory), "disk": rig.disk}
+        self.file.write_text(json.dumps(chosen))
+
+    def words(self) -> list[str]:
+        more = ["--mistake", self.mistake] if self.mistake else []
+        return ["lichencleat.lab.rig.watcher", str(self.file), *more]
+
+    def hear(self) -> list[dict[str, Any]]:
+        """Lines that are new, whole ones only."""
+        if not self.said.exists():
+            return []
+        with open(self.said, "rb") as file:
+            file.seek(self.read)
+            data = file.read()
+        whole = data.rfind(b"\n") + 1
+        self.read += whole
+        new = [json.loads(line) for line in data[:whole].splitlines() if line]
+        self.lines += new
+        return new
+
+    @property
+    def last(self) -> dict[str, Any]:
+        """What it said last in this life; empty where it said nothing yet."""
+        if self.running is not None and self.lines and self.lines[-1]["life"] == self.running.pid:
+            return self.lines[-1]
+        return {}
+
+
+class OtherVoter(Voter):
+    """The only one of another group."""
+
+    def write_file(self) -> None:
+        self.file.write_text(yaml.safe_dump({"quorum": self.chosen}))
+
+
+class DistributionRig(Rig):
+    """Owns all processes; given back in `close`, also when a test fails."""
+
+    def __init__(
+        self,
+        path: Path,
+        zones: Sequence[str] = ("a", "b"),
+        nodes: int = 3,
+        disk: str = "held back",
+        seed: int = 1,
+        direct: bool = False,
+    ) -> None:
+        """One region a zone, with a relay; two relays a zone; so many watchers a zone.
+
+        `direct`: nothing stands before the processes, so that it costs no time: for measurements.
+        """
+        self.direct = direct
+        self.rng = random.Random(f"distribution {seed}")
+        self.disk = disk
+        self.watchers_times = dict(TIMES)
+        super().__init__(path, disk=disk, relays=TappedRelays(self.rng))
+        self.watch = DistributionWatch()
+        self.history: list[Said] = []
+        self.acknowledged: list[Acknowledged] = []
+        self.judged_to = (0, 0)  # of these two
+        self.number = 0  # of the last batch that was made
+        self.version = 0  # of the last that was confirmed
+        self.results: list[tuple[dict[str, Any], Any]] = []  # of those published meanwhile
+        self.under_way = False
+        self.feeding: dict[str, RelayProcess] = {}
+        self.watchers: dict[str, Watcher] = {}
+        self.wrong_ones: dict[str, Watcher] = {}  # started with a mistake: judged apart
+        self.zones = tuple(zones)
+        self.publisher: Any = None
+        for voter in self.voters.values():
+            if direct:
+                voter.relay = voter.port
+            voter.chosen |= {"distribution": True, "address": voter.address}
+        source = [each.address for each in self.voters.values()]
+        for zone in zones:
+            region = self.relay(f"r{zone}", "", [source])
+            for at in (1, 2):
+                self.relay(f"{zone}{at}", zone, [[region.address], source])
+            for number in range(1, nodes + 1):
+                self.watcher(f"{zone}-n{number}", zone, self.sources(zone))
+
+    def relay(self, name: str, zone: str, sources: list[list[str]], **more: Any) -> RelayProcess:
+        self.feeding[name] = RelayProcess(self, name, zone, sources, **more)
+        return self.feeding[name]
+
+    def watcher(self, name: str, zone: str, sources: list[list[str]], **more: Any) -> Watcher:
+        self.watchers[name] = Watcher(self, name, zone, sources, **more)
+        return self.watchers[name]
+
+    def wrong_one(self, mistake: str, zone: str, sources: list[list[str]] | None = None) -> Watcher:
+        name = f"wrong-{mistake.replace(' ', '-')}"
+        made = Watcher(self, name, zone, sources or self.sources(zone), mistake=mistake)
+        self.wrong_ones[name] = made
+        return made
+
+    def sources(self, zone: str) -> list[list[str]]:
+        source = [each.address for each in self.voters.values()]
+        near = [self.feeding[f"{zone}{at}"].address for at in (1, 2)]
+        return [near, [self.feeding[f"r{zone}"].address], source]
+
+    def start(self) -> None:
+        """Founds the group, fills the table, starts all; returns once every watcher has what there is."""
+        self.form()
+        self.publisher = self.client()
+        for each in (*self.feeding.values(), *self.watchers.values()):
+            each.start()
+        for begin in range(0, BULK, FILLED):
+            filled = {f"route/r{at}": {"n": 0, "to": "x"} for at in range(begin, begin + FILLED)}
+            self.publish(filled)
+        self.publish()
+        self.all_have()
+
+    # -- publishing ----------------------------------------------------------------------------------
+
+    def publish(self, records: dict[str, Any] | None = None) -> int:
+        """A drawn batch, or this one. Its version; raises GroupError."""
+        self.number += 1
+        records = batch_of(self.number, self.rng) if records is None else records
+        changes = [change(name, value) for name, value in records.items()]
+        told = self.ask(self.publisher.propose, PART, Publish(tuple(changes)), PATIENCE)
+        published = Published(*told)
+        assert published.done, published.why
+        self.confirms(published.version, records)
+        return published.version
+
+    def publishes_on(self, patience: float = 3.0) -> None:
+        """Begins with a drawn batch unless one is under way; what became of the last one is judged."""
+        while self.results:
+            records, told = self.results.pop(0)
+            self.under_way = False
+            if told is not None and Published(*told).done:
+                self.confirms(Published(*told).version, records)
+        if self.under_way:
+            return
+        self.under_way = True
+        self.number += 1
+        records = batch_of(self.number, self.rng)
+        changes = tuple(change(name, value) for name, value in records.items())
+
+        def begin() -> None:
+            made = self.publisher.propose(PART, Publish(changes), patience)
+            made.addErrback(lambda failure: failure.trap(GroupError) and None)
+            made.addCallback(lambda told: self.results.append((records, told)))
+
+        self.relays.reactor.callFromThread(begin)
+
+    def confirms(self, version: int, records: dict[str, Any]) -> None:
+        self.version = max(version, self.version)
+        self.watch.publishes(version, {name: records[name] for name in looked_at() if name in records})
+
+    # -- looking -------------------------------------------------------------------------------------
+
+    def listen(self) -> None:
+        """Reads what was acknowledged until now, and then what was said: that is never behind it."""
+        told = self.relays.told()
+        for name, watcher in (*self.watchers.items(), *self.wrong_ones.items()):
+            self.history += [
+                Said(line["at"], name, line["life"], line["version"], line["digest"], line["answers"])
+                for line in watcher.hear()
+            ]
+        self.acknowledged += told
+
+    def hear(self) -> None:
+        """Reads and judges what was said and acknowledged until now. Raises AssertionError."""
+        self.listen()
+        said, told = self.judged_to
+        for each in self.history[said:]:
+            if each.who in self.watchers:
+                self.watch.in_force(each)
+        self.watch.acknowledges(each for each in self.acknowledged[told:] if each.who in self.watchers)
+        self.judged_to = len(self.history), len(self.acknowledged)
+        assert self.watch.wrong is None, self.watch.wrong
+
+    def judged(self, name: str) -> str | None:
+        """What is wrong with one that was started with a mistake, beside all that are right."""
+        self.hear()
+        return self.beside(name)
+
+    def beside(self, name: str) -> str | None:
+        watch = DistributionWatch()
+        for version, answers in self.watch.published.items():
+            watch.publishes(version, answers)
+        for said in self.history:
+            if said.who == name or said.who in self.watchers:
+                watch.in_force(said)
+        watch.acknowledges(each for each in self.acknowledged if each.who == name)
+        return watch.wrong
+
+    def all_have(self, version: int = 0, names: Iterable[str] | None = None) -> None:
+        """Waits until all that are up have that version, or the newest one that was confirmed."""
+        version = version or self.version
+
+        def lacking() -> list[str]:
+            self.hear()
+            chosen = self.watchers if names is None else names
+            up = [name for name in chosen if self.watchers[name].up()]
+            return [name for name in up if self.watchers[name].last.get("version", 0) < version]
+
+        try:
+            self.until(lambda: not lacking(), f"version {version} at all")
+        except AssertionError as wrong:
+            lack = {name: self.watchers[name].last.get("version") for name in lacking()}
+            raise AssertionError(f"{wrong}\nlacking: {lack}") from wrong
+
+    def look(self, names: Iterable[str] | None = None) -> dict[str, dict[str, Any]]:
+        """Asks these watchers for a word, and waits for it."""
+        asked = {name: self.watchers[name] for name in (self.watchers if names is None else names)}
+        since = moment()
+        for each in asked.values():
+            each.signal(signal.SIGUSR1)
+
+        def answered() -> bool:
+            self.hear()
+            return all(each.last.get("at", 0) >= since for each in asked.values() if each.up())
+
+        self.until(answered, f"a word of {', '.join(asked)}")
+        return {name: each.last for name, each in asked.items()}
+
+    def relays_of(self, names: Iterable[str]) -> dict[str, str]:
+        """The relay that each of these watchers follows, by name; "" where it follows none."""
+        named = {each.address: each.name for each in (*self.feeding.values(), *self.voters.values())}
+        return {name: named.get(said.get("relay") or "", "") for name, said in self.look(names).items()}
+
+    def at_home(self, names: Iterable[str]) -> bool:
+        """Does each of these follow its first choice?"""
+        return all(said.get("relay") == said["home"] for said in self.look(names).values())
+
+    def distribution_status(self) -> dict[str, Any] | None:
+        code, said = self.command("distribution", "status", str(self.voters["v1"].file), "--json")
+        return json.loads(said) if code == 0 else None
+
+    # -- faults --------------------------------------------------------------------------------------
+
+    def form_other_group(self) -> RelayProcess:
+        """Another group of the same name, with a relay and records of its own; nobody is told of it."""
+        voter = OtherVoter(self, "w1", self.disk)
+        voter.chosen["distribution"] = True
+        voter.write_file()
+        code, said = self.command("quorum", "found", str(voter.file))
+        assert code == 0, said
+        voter.start()
+        self.until(lambda: self.leader([voter]) is not None, "the other group's leader")
+        client = self.relays.call(
+            Client, self.relays.reactor, GROUP, [(LOCAL, voter.relay)], random.Random("other")
+        )
+        self.clients.append(client)
+        for _ in range(3):
+            records = batch_of(9_000, random.Random("other")) | {"tenant/t1": {"tenant": "other", "n": 0}}
+            records[f"route/{self.relays.call(moment)}"] = {"n": 0}
+            changes = tuple(change(name, value) for name, value in records.items())
+            self.ask(client.propose, PART, Publish(changes), PATIENCE)
+        other = RelayProcess(self, "x1", "", [[voter.address]])
+        other.start()
+        return other
+
+    def exchange(self, relay: RelayProcess, port: int) -> None:
+        """At that relay's address answers whoever listens at the port."""
+
+        def go() -> None:
+            self.relays.by_name[relay.name].to = port
+
+        self.relays.call(go)
+        self.relays.reset(relay.name)
+
+    def inside(self, zone: str) -> set[str]:
+        """All that stands in the region of that zone."""
+        return {
+            name
+            for name in (*self.feeding, *self.watchers)
+            if name == f"r{zone}" or (self.feeding.get(name) or self.watchers[name]).zone == zone
+        }
+
+    def cut(self, here: set[str]) -> set[tuple[str, str]]:
+        """Nothing passes between these and all others until `heal`; connections stand."""
+        others = {*self.voters, *self.feeding, *self.watchers, CLIENT} - here
+        pairs = set(itertools.product(here, others)) | set(itertools.product(others, here))
+        self.relays.hold(pairs)
+        return pairs
--- /dev/null
+++ b/lichencleat/lab/rig/hollow_nodes.py
@@ -0,0 +1,121 @@
+"""A process with many hollow nodes: each has the real follower, subscriber and link of its own; all of them
+share one set of tables, so that a batch is applied once.
+
+python -m lichencleat.lab.rig.hollow_nodes FILE
+
+Left out against a node: its own table and its staging, its disk, its own process. At each SIGUSR1 a line is
+written of what was taken since the last one, and of bytes and processor time so far.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import resource
+import signal
+import sys
+from collections import Counter
+from typing import Any
+
+from lichencleat.clocks import make_reactor, unix_time
+from lichencleat.distribution import subscriber as subscribing
+from lichencleat.distribution.choice import Times
+from lichencleat.distribution.follow import Follower
+from lichencleat.distribution.subscriber import Subscriber, Upward
+from lichencleat.distribution.terms import Batch
+from lichencleat.lab.hollow import Shared, SharedCopy
+from lichencleat.lab.rig.tap import moment
+from lichencleat.logs.lines import make_log
+
+TAKES_MOST = 2_000_000  # kept between two lines: 300 nodes that take some thousand batches
+passed = {"in": 0, "out": 0}  # bytes of all links
+
+
+class CountedUpward(Upward):
+    def dataReceived(self, data: bytes) -> None:
+        passed["in"] += len(data)
+        super().dataReceived(data)
+
+    def sendString(self, string: bytes) -> None:
+        passed["out"] += len(string) + 4
+        super().sendString(string)
+
+
+class HollowNodes:
+    """Owns the nodes of one zone, and the file that is written to."""
+
+    def __init__(self, reactor: Any, chosen: dict[str, Any]) -> None:
+        """`chosen`: group, zone, name, nodes, sources, said, and `spread`: s over which they start."""
+        self.reactor, self.chosen = reactor, chosen
+        self.log = make_log(unix_time, process=chosen["name"], role="hollow", group=chosen["group"])
+        self.said = os.open(chosen["said"], os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+        self.shared = Shared()
+        self.takes: list[tuple[int, int, int]] = []  # node, version, µs
+        self.nodes: list[Subscriber] = []
+
+    def now(self) -> int:
+        return int(self.reactor.seconds() * 1e6)
+
+    def start(self) -> None:
+        chosen = self.chosen
+        tiers = tuple(map(tuple, chosen["sources"]))
+        for number in range(chosen["nodes"]):
+            rng = random.Random(f"{chosen['name']} {number}")
+            copy = SharedCopy(self.shared)
+            follower = Follower(tiers, copy, rng, self.now(), True, chosen["zone"], Times())
+            name = f"{chosen['name']}-{number}"
+
+            def taken(batches: tuple[Batch, ...], number: int = number, copy: SharedCopy = copy) -> None:
+                if len(self.takes) < TAKES_MOST:
+                    self.takes.append((number, copy.version, moment()))
+
+            made = Subscriber(
+                self.reactor, chosen["group"], name, follower, copy, rng, self.log, self.now, taken
+            )
+            self.nodes.append(made)
+            self.reactor.callLater(rng.uniform(0, chosen["spread"]), made.start)
+
+    def tell(self) -> None:
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        takes, self.takes = self.takes, []
+        now = self.now()
+        counts: Counter[str] = Counter()
+        for each in self.nodes:
+            counts.update(each.counts)
+            counts.update(each.follower.counters)
+        line = {
+            "at": moment(),
+            "zone": self.chosen["zone"],
+            "nodes": len(self.nodes),
+            "cpu": used.ru_utime + used.ru_stime,
+            "rss": rss(os.getpid()),
+            "bytes": dict(passed),
+            "takes": takes,
+            "versions": dict(Counter(each.copy.version for each in self.nodes)),
+            "relays": dict(Counter(each.follower.relay or "" for each in self.nodes)),
+            "oldest": max(each.follower.age(now) for each in self.nodes),
+            "counts": dict(counts),
+        }
+        os.write(self.said, json.dumps(line).encode() + b"\n")
+
+
+def rss(pid: int) -> int:
+    """Bytes."""
+    with open(f"/proc/{pid}/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def main() -> None:
+    reactor = make_reactor()
+    subscribing.Upward = CountedUpward  # type: ignore[misc]
+    with open(sys.argv[1]) as file:
+        nodes = HollowNodes(reactor, json.load(file))
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(nodes.tell))
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
+    reactor.callWhenRunning(nodes.start)
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main()
--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -53,15 +53,17 @@
         return port
 
 
-def wait_until(holds: Callable[[], Any], what: str, more: Callable[[], str] = lambda: "") -> Any:
-    """What it gives, once that is true; fails after PATIENCE, and tells what it waited for."""
-    end = time.monotonic() + PATIENCE
+def wait_until(
+    holds: Callable[[], Any], what: str, more: Callable[[], str] = lambda: "", patience: float = PATIENCE
+) -> Any:
+    """What it gives, once that is true; fails after so many seconds, and tells what it waited for."""
+    end = time.monotonic() + patience
     while time.monotonic() < end:
         found = holds()
         if found:
             return found
         time.sleep(0.01)
-    raise AssertionError(f"waited {PATIENCE:g} s for {what}\n{more()}")
+    raise AssertionError(f"waited {patience:g} s for {what}\n{more()}")
 
 
 class Voter:
@@ -136,10 +138,15 @@
     """Owns the processes, the relays, the clients; all are given back in `close`, also when a test fails."""
 
     def __init__(
-        self, path: Path, voters: int = 3, disk: str = "held back", times: dict | None = None
+        self,
+        path: Path,
+        voters: int = 3,
+        disk: str = "held back",
+        times: dict | None = None,
+        relays: Relays | None = None,
     ) -> None:
-        self.path, self.times = path, times or FAST
-        self.relays = Relays()
+        self.path, self.times, self.patience = path, times or FAST, PATIENCE
+        self.relays: Any = relays or Relays()
         self.children: list[subprocess.Popen] = []
         self.reserved: list[socket.socket] = []
         self.clients: list[Client] = []
@@ -235,7 +242,7 @@
         return max(leading, key=lambda each: leading[each]["term"], default=None)
 
     def until(self, holds: Callable[[], Any], what: str) -> Any:
-        return wait_until(holds, what, self.logs)
+        return wait_until(holds, what, self.logs, self.patience)
 
     def logs(self) -> str:
         """The last lines of every process."""
--- /dev/null
+++ b/lichencleat/lab/rig/watcher.py
@@ -0,0 +1,202 @@
+"""A node's part of the distribution alone, as a process: the real subscriber, table and disk. It writes down
+each version in force and what it answers for some records, where that is another, and when asked by SIGUSR1.
+
+python -m lichencleat.lab.rig.watcher FILE [--mistake NAME]
+
+A line is written before anything is told to the one above, and its digest is made anew from the pages, so
+that what a mistake claims is not what is judged.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import sys
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import inlineCallbacks
+
+from lichencleat.clocks import make_reactor, unix_time
+from lichencleat.distribution.choice import Times
+from lichencleat.distribution.copy import TableCopy
+from lichencleat.distribution.follow import Follower
+from lichencleat.distribution.kept import open_kept
+from lichencleat.distribution.pages import digest_bytes, digest_of
+from lichencleat.distribution.subscriber import Subscriber
+from lichencleat.distribution.table import Table
+from lichencleat.distribution.terms import Batch, Digests, Pages
+from lichencleat.lab.rig.heldback import HeldBackDisk
+from lichencleat.lab.rig.tap import moment
+from lichencleat.logs.lines import make_log
+from lichencleat.store.errors import StoreError
+
+
+class WatchedCopy(TableCopy):
+    """Tells what is in force after each call that may change it."""
+
+    def __init__(self, table: Table, mark: bytes = b"") -> None:
+        super().__init__(table, mark)
+        self.on_call: Any = lambda: None
+
+    @property
+    def shown(self) -> Table:
+        """What answers."""
+        return self.table
+
+    def stage(self, batches: Sequence[Batch]) -> None:
+        try:
+            super().stage(batches)
+        finally:
+            self.on_call()
+
+    def begin(self, head: Digests) -> None:
+        super().begin(head)
+        self.on_call()
+
+    def put(self, pages: Pages) -> bool:
+        taken = super().put(pages)
+        self.on_call()
+        return taken
+
+    def step(self) -> bool:
+        try:
+            return super().step()
+        finally:
+            self.on_call()
+
+    def take(self) -> tuple[Batch, ...]:
+        try:
+            return super().take()
+        finally:
+            self.on_call()
+
+    def drop(self) -> None:
+        super().drop()
+        self.on_call()
+
+
+class Watching:
+    """Owns the file that is written to, the copy, the subscriber and the disk."""
+
+    def __init__(self, reactor: Any, chosen: dict[str, Any], mistake: str) -> None:
+        self.reactor, self.chosen, self.mistake = reactor, chosen, mistake
+        self.rng = random.Random(os.urandom(16))
+        self.log = make_log(unix_time, process=chosen["name"], role="watcher", group=chosen["group"])
+        self.said = os.open(chosen["said"], os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+        self.looks_at = [tuple(name.partition("/")[::2]) for name in chosen["looks_at"]]
+        self.last: tuple[Any, ...] = ()
+        self.copy: WatchedCopy | None = None
+        self.subscriber: Subscriber | None = None
+        self.kept: Any = None
+        self.trouble = ""
+
+    @inlineCallbacks
+    def start(self) -> Any:
+        from lichencleat.lab.rig import mistakes
+
+        chosen = self.chosen
+        table, mark = Table(), b""
+        if chosen.get("directory"):
+            held_back = chosen.get("disk") == "held back"
+            try:
+                disk = HeldBackDisk(chosen["directory"], create=True) if held_back else None
+                self.kept = yield open_kept(self.reactor, chosen["directory"], unix_time, self.rng, disk=disk)
+                table, mark, _ = yield mistakes.load(self.kept, self.mistake)
+                self.trouble = self.kept.trouble
+            except (StoreError, OSError) as wrong:
+                self.trouble = str(wrong)
+        self.copy = mistakes.copy_of(self.mistake, self.reactor, table, mark)
+        self.copy.on_call = self.look
+        now = lambda: int(self.reactor.seconds() * 1e6)  # noqa: E731
+        times = replace(Times(), **{key: tuple(span) for key, span in chosen["times"].items()})
+        tiers = tuple(map(tuple, chosen["sources"]))
+        follower = Follower(tiers, self.copy, self.rng, now(), True, chosen["zone"], times)
+        self.subscriber = Subscriber(
+            self.reactor,
+            chosen["group"],
+            chosen["name"],
+            follower,
+            self.copy,
+            self.rng,
+            self.log,
+            now,
+            self.taken,
+            self.told,
+        )
+        mistakes.arrange(self.mistake, self.subscriber)
+        self.log.info("started", version=table.version, trouble=self.trouble)
+        self.look("started")
+        self.subscriber.start()
+
+    def taken(self, batches: tuple[Batch, ...]) -> None:
+        assert self.copy is not None
+        if self.kept is not None and batches:
+            self.kept.wrote(self.copy.table, batches)
+        elif self.kept is not None:
+            self.kept.replaced(self.copy.table)
+
+    def told(self) -> None:
+        if self.kept is not None and self.copy is not None and self.copy.mark != getattr(self, "mark", b""):
+            self.mark = self.copy.mark
+            self.kept.mark(self.mark)
+
+    def answers(self) -> dict[str, Any]:
+        assert self.copy is not None
+        table = self.copy.shown
+        found = {}
+        for kind, name in self.looks_at:
+            value = table.find(kind, name)
+            found[f"{kind}/{name}"] = None if value is None else msgspec.json.decode(value)
+        return found
+
+    def look(self, why: str = "") -> None:
+        """Writes a line where something is another, or where there is a reason."""
+        copy = self.copy
+        if copy is None:
+            return
+        table = copy.shown
+        seen = (table.version, table.total, answers := self.answers())
+        if seen == self.last and not why:
+            return
+        self.last = seen
+        digest = digest_bytes(sum(digest_of(number, page) for number, page in enumerate(table.pages)))
+        line = {
+            "at": moment(),
+            "life": os.getpid(),
+            "version": table.version,
+            "digest": digest.hex(),
+            "answers": answers,
+            "why": why or "changed",
+        }
+        if why and self.subscriber is not None:
+            follower = self.subscriber.follower
+            line["relay"], line["age"] = follower.relay, follower.age(self.subscriber.now())
+            line["home"] = follower.choice.order[0]
+            line["counts"], line["trouble"] = self.subscriber.counts, self.trouble
+        os.write(self.said, json.dumps(line).encode() + b"\n")
+
+
+def main() -> None:
+    reactor = make_reactor()
+    path, *more = sys.argv[1:]
+    mistake = more[1] if more[:1] == ["--mistake"] else ""
+    with open(path) as file:
+        watching = Watching(reactor, json.load(file), mistake)
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(watching.look, "asked"))
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
+
+    def fails(failure: Any) -> None:
+        watching.log.warning("can't start", trace=failure.getBriefTraceback().replace("\n", " | ")[-600:])
+        reactor.stop()
+
+    reactor.callWhenRunning(lambda: watching.start().addErrback(fails))
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fleet/distribution.py
@@ -0,0 +1,251 @@
+"""The configuration's distribution through drawn faults: `python -m tests.fleet.distribution --seeds 1-100`.
+
+Each schedule: three voters, two regions, two zones with two relays each, nodes that write down all they
+answer, batches published throughout; faults drawn by the seed, some at once; in the end all is healed.
+Judged: what any node ever answered and acknowledged, and that all have the newest in time.
+"""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import click
+
+from lichencleat.lab.rig.distribution import Child, DistributionRig, RelayProcess
+
+FAULTS, SPAN, BETWEEN = (3, 9), (0.2, 4.0), 1.0  # how many; s that each lasts; s from one to the next
+BEAT = 0.05  # s between looks
+WELL = 30.0  # s in which all have the newest once faults have ended: relays' own waits are the field's
+RATES, STEP = (0.95, 1.05), 30.0  # clocks run wrong within the stated drift; Unix time steps by s
+KINDS = ["kill", "kill", "kill", "stop", "stop", "cut region", "cut", "cut", "one way", "slow", "reset"]
+KINDS += [
+    "spoilt link",
+    "spoilt link",
+    "spoilt file",
+    "torn file",
+    "half a write",
+    "old copy",
+    "old copy",
+    "disk full",
+]
+KINDS += ["clock", "kill voter", "kill voters", "stop voter", "cut voter", "other group"]
+
+
+@dataclass
+class Ran:
+    seed: int
+    wrong: str | None = None
+    faults: list[str] = field(default_factory=list)
+    said: int = 0  # lines of nodes
+    told: int = 0  # acknowledgements
+    batches: int = 0
+    well: float = 0.0  # s from the end of faults until all had the newest
+    spoilt: int = 0  # bytes
+    snapshots: int = 0
+
+
+class Schedule:
+    def __init__(self, rig: DistributionRig, other: RelayProcess, rng: random.Random, ran: Ran) -> None:
+        self.rig, self.other, self.rng, self.ran = rig, other, rng, ran
+        self.undo: list[tuple[float, Any]] = []
+        self.copies: dict[str, Path] = {}
+
+    def later(self, undo: Any) -> None:
+        self.undo.append((time.monotonic() + self.rng.uniform(*SPAN), undo))
+
+    def due(self) -> None:
+        for each in list(self.undo):
+            if each[0] <= time.monotonic():
+                self.undo.remove(each)
+                each[1]()
+
+    def passes(self, span: float) -> None:
+        """Publishes, listens and ends faults meanwhile."""
+        end = time.monotonic() + span
+        while True:
+            self.rig.publishes_on()
+            self.due()
+            self.rig.hear()
+            if time.monotonic() >= end:
+                return
+            time.sleep(BEAT)
+
+    def coin(self) -> int:
+        return self.rng.randrange(2)
+
+    @staticmethod
+    def again(each: Child) -> None:
+        if not each.up():
+            each.start()
+
+    def begin(self) -> None:
+        rig, rng = self.rig, self.rng
+        kind = rng.choice(KINDS)
+        group: list[Child] = list((rig.feeding, rig.watchers)[self.coin()].values())
+        each = rng.choice(group)
+        voters = rng.sample(list(rig.voters.values()), 2)
+        self.ran.faults.append(f"{kind} {voters[0].name if 'voter' in kind else each.name}")
+        if kind == "kill":
+            each.kill()
+            self.later(lambda: self.again(each))
+        elif kind == "stop":
+            each.stop()
+            self.later(each.go_on)
+        elif kind.startswith("kill voter"):
+            cut = voters if kind == "kill voters" else voters[:1]
+            for one in cut:
+                one.kill()
+            self.later(lambda: [one.start() for one in cut if one.running.poll() is not None])
+        elif kind == "stop voter":
+            voters[0].stop()
+            self.later(voters[0].go_on)
+        elif kind.startswith("cut") or kind == "one way":
+            self.cuts(kind, each, voters[0].name)
+        elif kind in ("slow", "reset", "spoilt link"):
+            self.links(kind, rng.choice([*rig.feeding.values(), voters[0]]).name)
+        elif kind == "other group":
+            relay = rng.choice(list(rig.feeding.values()))
+            rig.exchange(relay, self.other.port)
+            self.later(lambda: rig.exchange(relay, relay.port))
+        elif kind == "clock":
+            name = rng.choice([each.name, voters[0].name])
+            rig.clock(name, rng.uniform(*RATES), rng.uniform(-STEP, STEP))
+        else:
+            self.disks(kind, each)
+
+    def cuts(self, kind: str, each: Child, voter: str) -> None:
+        rig = self.rig
+        if kind == "one way":
+            pairs = {(each.name, name) for name in (*rig.feeding, *rig.voters)}
+            rig.relays.hold(pairs)
+        else:
+            zone = self.rng.choice(rig.zones)
+            here = {"cut region": rig.inside(zone), "cut": {each.name}, "cut voter": {voter}}[kind]
+            pairs = rig.cut(here)
+        self.later(lambda: rig.heal(pairs))
+
+    def links(self, kind: str, name: str) -> None:
+        rig = self.rig
+        callers = {link.caller for link in list(rig.relays.by_name[name].links)} - set(rig.voters)
+        pairs = {(name, caller) for caller in callers}
+        if kind == "reset":
+            rig.relays.reset(name)
+        elif kind == "spoilt link":
+            rig.relays.spoil(pairs)
+        else:
+            rig.relays.slow(pairs, self.rng.uniform(0.01, 0.4))
+            self.later(lambda: rig.relays.slow(pairs, 0.0))
+
+    def disks(self, kind: str, each: Child) -> None:
+        rng = self.rng
+        if kind == "disk full":
+            each.fill_disk()
+            self.later(each.empty_disk)
+        elif kind == "old copy" and each.name not in self.copies:
+            if each.up() and each.directory.exists():
+                self.copies[each.name] = each.copy_directory()
+                self.later(lambda: self.puts_back(each))
+        else:
+            each.kill()
+            if kind == "half a write":
+                each.half_a_write(rng)
+            elif kind == "torn file":
+                each.tear_file(rng)
+            elif kind == "spoilt file":
+                self.ran.faults[-1] += f" ({each.spoil_file(rng)})"
+            self.later(lambda: self.again(each))
+
+    def puts_back(self, each: Child) -> None:
+        if each.up():
+            each.kill()
+            each.put_back(self.copies.pop(each.name))
+            self.again(each)
+
+    def heals(self) -> None:
+        rig = self.rig
+        while self.undo:
+            self.passes(BEAT)
+        for each in (*rig.feeding.values(), *rig.watchers.values()):
+            rig.clock(each.name)
+            self.again(each)
+        for voter in rig.voters.values():
+            rig.clock(voter.name)
+            if voter.running.poll() is not None:
+                voter.start()
+        rig.relays.call(rig.relays.spoils.clear)
+        begun = time.monotonic()
+        rig.until(lambda: rig.leader() is not None, "a leader")
+        rig.publish()
+        rig.patience = WELL
+        rig.all_have()
+        self.ran.well = time.monotonic() - begun
+
+
+def run(seed: int, nodes: int) -> Ran:
+    ran = Ran(seed)
+    rng = random.Random(f"distribution {seed}")
+    with tempfile.TemporaryDirectory() as folder:
+        rig = None
+        try:
+            rig = DistributionRig(Path(folder), nodes=nodes, seed=seed)
+            rig.start()
+            schedule = Schedule(rig, rig.form_other_group(), rng, ran)
+            for _ in range(rng.randint(*FAULTS)):
+                schedule.begin()
+                schedule.passes(rng.uniform(0, BETWEEN))
+            schedule.heals()
+        except AssertionError as wrong:
+            ran.wrong = str(wrong)
+        finally:
+            if rig is not None:
+                ran.said, ran.told = rig.watch.heard, rig.watch.acknowledged
+                ran.batches, ran.spoilt = len(rig.watch.published), rig.relays.spoilt
+                ran.snapshots = sum(each.what == "digests" for each in rig.relays.asked)
+                rig.close()
+    return ran
+
+
+def seeds_of(text: str) -> range:
+    """ "3-7", or "3"."""
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+@click.command()
+@click.option("--seeds", default="1-20", show_default=True, help="FIRST-LAST.")
+@click.option("--nodes", default=4, show_default=True, help="Of each of the two zones.")
+@click.option("--side-by-side", default=1, show_default=True, help="Rigs at once.")
+def main(seeds: str, nodes: int, side_by_side: int) -> None:
+    """Plays drawn schedules, and tells what broke."""
+    drawn = seeds_of(seeds)
+    done: list[Ran] = []
+    with ProcessPoolExecutor(side_by_side) as pool:
+        for ran in pool.map(run, drawn, [nodes] * len(drawn)):
+            done.append(ran)
+            if ran.wrong is not None:
+                click.echo(f"seed {ran.seed}: {', '.join(ran.faults)}\n{ran.wrong}")
+    kinds = Counter(each.rpartition(" ")[0].partition(" (")[0] for ran in done for each in ran.faults)
+    click.echo(", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())))
+    wrong = [each for each in done if each.wrong is not None]
+    well = sorted(each.well for each in done if each.wrong is None)
+    click.echo(
+        f"{len(done)} schedules of {2 * nodes} nodes, {sum(len(each.faults) for each in done)} faults, "
+        f"{sum(each.batches for each in done)} batches, {sum(each.said for each in done)} words of nodes, "
+        f"{sum(each.told for each in done)} acknowledgements, "
+        f"{sum(each.snapshots for each in done)} snapshots begun, "
+        f"{sum(each.spoilt for each in done)} bytes spoilt; well again after "
+        f"{well[len(well) // 2] if well else 0:.1f} s at the median, "
+        f"{well[-1] if well else 0:.1f} s at the most; {len(wrong)} wrong"
+    )
+    raise SystemExit(1 if wrong else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fleet/test_distribution.py
@@ -0,0 +1,216 @@
+"""The configuration's distribution by real processes, with faults between them; one rig for all. Each test
+waits for events, leaves all well behind it, and all that any node ever said is judged.
+"""
+
+import pytest
+
+from lichencleat.distribution.terms import DIGESTS, FOLLOW, PAGES_OF
+from lichencleat.lab.rig.distribution import DistributionRig
+from lichencleat.lab.rig.tap import moment
+
+
+@pytest.fixture(scope="module")
+def rig(tmp_path_factory):
+    made = DistributionRig(tmp_path_factory.mktemp("distribution"))
+    try:
+        made.start()
+        yield made
+    finally:
+        made.close()
+
+
+@pytest.fixture(autouse=True)
+def judged(rig):
+    """After each test all have the newest, and nothing that was ever said is wrong."""
+    yield
+    rig.publish()
+    rig.all_have()
+
+
+def names(rig, zone):
+    return [name for name, each in rig.watchers.items() if each.zone == zone]
+
+
+def asked_since(rig, since, who=None, of=None):
+    return [
+        each
+        for each in list(rig.relays.asked)
+        if each.at >= since and who in (None, each.who) and of in (None, each.of)
+    ]
+
+
+def version_of(rig, each):
+    rig.listen()
+    return each.last.get("version", 0)
+
+
+def test_what_is_published_reaches_all_through_both_tiers(rig):
+    version = rig.publish()
+    rig.all_have(version)
+    assert rig.watch.heard and rig.watch.wrong is None
+    rig.until(lambda: rig.at_home(rig.watchers), "all to be at home")  # some began before their relay
+    since = moment()
+    rig.publish()
+    rig.all_have()
+    rig.until(lambda: len({each.who for each in asked_since(rig, since)}) >= 12, "a question of each")
+    callers = {of: {each.who for each in asked_since(rig, since, of=of)} for of in rig.feeding}
+    assert callers["ra"] <= {"a1", "a2"} and callers["a1"] | callers["a2"] >= set(names(rig, "a"))
+
+
+def test_a_killed_relays_nodes_move_and_come_home(rig):
+    rig.until(lambda: rig.at_home(names(rig, "a")), "all to be at home")
+    before = rig.relays_of(names(rig, "a"))
+    killed = max(("a1", "a2"), key=list(before.values()).count)
+    there = [name for name, relay in before.items() if relay == killed]
+    rig.feeding[killed].kill()
+    rig.publish()
+    rig.all_have()
+    assert killed not in rig.relays_of(there).values()
+    rig.feeding[killed].start()
+    rig.until(lambda: set(rig.relays_of(there).values()) == {killed}, f"{there} to come home")
+
+
+def test_a_relay_that_was_stopped_wakes_late_and_takes_nobody_back(rig):
+    rig.until(lambda: rig.at_home(names(rig, "b")), "all to be at home")
+    before = rig.relays_of(names(rig, "b"))
+    stopped = max(("b1", "b2"), key=list(before.values()).count)
+    rig.feeding[stopped].stop()
+    for _ in range(3):
+        rig.publish()
+    rig.all_have()
+    assert stopped not in rig.relays_of([n for n, relay in before.items() if relay == stopped]).values()
+    rig.feeding[stopped].go_on()
+    rig.publish()
+    rig.all_have()
+    rig.until(lambda: rig.at_home(before), "all to come home")
+
+
+def test_a_node_started_from_its_disk_asks_only_for_what_is_newer(rig):
+    name = "a-n1"
+    node = rig.watchers[name]
+    had = rig.look([name])[name]["version"]
+    node.kill()
+    rig.publish()
+    since = moment()
+    node.start()
+    rig.all_have()
+    (began,) = [each for each in node.lines if each["why"] == "started" and each["at"] >= since]
+    assert 0 < began["version"] <= had and not began["trouble"]
+    asked = asked_since(rig, since, who=name)
+    assert asked[0].what == FOLLOW and asked[0].version == began["version"]
+    assert not [each for each in asked if each.what in (DIGESTS, PAGES_OF)]
+
+
+def test_a_relay_put_back_from_an_old_copy_is_not_followed(rig):
+    old, other = rig.feeding["a1"], rig.feeding["a2"]
+    copy = old.copy_directory()
+    rig.publish()
+    rig.all_have()
+    old.kill()
+    other.kill()
+    old.put_back(copy)
+    pairs = {(old.name, name) for name in ("ra", *rig.voters)}  # it stays as old as it is
+    rig.relays.hold(pairs)
+    since = moment()
+    old.start()
+    rig.until(lambda: asked_since(rig, since, of="a1"), "a question at the old one")
+    rig.publish()
+    rig.all_have()
+    rig.until(lambda: set(rig.relays_of(names(rig, "a")).values()) == {"ra"}, "all at the region's")
+    rig.heal(pairs)
+    other.start()
+    rig.until(lambda: "ra" not in rig.relays_of(names(rig, "a")).values(), "all at home")
+
+
+def test_a_region_that_is_cut_off_says_how_old_it_is_and_catches_up(rig):
+    rig.publish()
+    rig.all_have()
+    here, version = names(rig, "a"), rig.version
+    pairs = rig.cut(rig.inside("a"))
+    rig.publish()
+    rig.all_have(names=names(rig, "b"))
+
+    def old() -> bool:
+        said = rig.look(here).values()
+        assert all(each["version"] == version for each in said)
+        return all(each["age"] > 2_000_000 for each in said)
+
+    rig.until(old, "the region's nodes to say that they are old")
+    rig.heal(pairs)
+    rig.all_have()
+    rig.until(lambda: all(each["age"] < 3_000_000 for each in rig.look(here).values()), "them to be fresh")
+
+
+def test_status_tells_what_is_in_force_where(rig):
+    version = rig.publish()
+
+    def told() -> bool:
+        said = rig.distribution_status()
+        zones = {each["zone"]: each for each in said["zones"]} if said else {}
+        return said and all(
+            zones.get(zone, {}).get("nodes") == 3
+            and zones[zone]["lowest"] == version
+            and zones[zone]["late"] == 0
+            for zone in rig.zones
+        )
+
+    rig.until(told, "both zones whole at the newest version")
+
+
+def test_the_judges_find_watchers_that_were_started_with_a_mistake(rig):
+    wrong = {
+        "two turns": ("half a batch", "two digests", "not as published", "two answers"),
+        "lost change": ("two digests", "not as published", "two answers"),
+        "early word": ("acknowledged before",),
+    }
+    made = {rig.wrong_one(mistake, "b").name: told for mistake, told in wrong.items()}
+    for name in made:
+        rig.wrong_ones[name].start()
+    rig.until(lambda: all(version_of(rig, rig.wrong_ones[name]) for name in made), "them to have something")
+
+    def found() -> bool:
+        rig.publish()
+        rig.all_have()
+        return all(rig.judged(name) for name in made)
+
+    rig.until(found, "each mistake to be found")
+    for name, told in made.items():
+        assert any(each in rig.judged(name) for each in told), rig.judged(name)
+        rig.wrong_ones[name].kill()
+
+
+def test_one_that_follows_an_older_relay_is_found(rig):
+    new, old = rig.feeding["b1"], rig.feeding["b2"]
+    pairs = {(above, old.name) for above in ("rb", *rig.voters)}
+    rig.relays.hold(pairs)
+    rig.publish()
+    rig.all_have()
+    made = rig.wrong_one("older relay", "b", [[new.address], [old.address]])
+    made.start()
+    rig.until(lambda: version_of(rig, made) == rig.version, "it to have the newest")
+    assert rig.judged(made.name) is None
+    apart = {(new.name, made.name), (made.name, new.name)}
+    rig.relays.hold(apart)
+    rig.relays.reset(new.name)
+    rig.until(lambda: rig.judged(made.name), "it to go back")
+    assert "goes back" in rig.judged(made.name)
+    made.kill()
+    rig.heal(pairs | apart)
+
+
+def test_a_file_that_is_half_written_is_not_used_and_one_that_trusts_it_is_found(rig):
+    right, wrong = rig.watchers["b-n1"], rig.wrong_one("torn file", "b")
+    rig.publish()
+    rig.all_have()
+    right.kill()
+    assert right.half_a_write(rig.rng)
+    wrong.take_over(right)
+    since = moment()
+    right.start()
+    wrong.start()
+    rig.all_have()
+    (began,) = [each for each in right.lines if each["why"] == "started" and each["at"] >= since]
+    assert began["version"] == 0 and "spoilt" in began["trouble"]
+    rig.until(lambda: rig.judged(wrong.name), "the one that trusts it to be found")
+    assert "two digests" in rig.judged(wrong.name) or "two answers" in rig.judged(wrong.name)
+    wrong.kill()
