--- a/tests/net/test_leaving.py
+++ b/tests/net/test_leaving.py
@@ -3,31 +3,13 @@
 import json
 
 import pytest
-from net_parts import CHECK, ID, REQUEST, SECOND, Reactor, Transport
+from net_parts import CHECK, ID, REQUEST, SECOND, Machine, Transport
 from standins import SETTINGS
 
 from lichencleat.net.assembly import RealNode
 from lichencleat.net.config import read_told
 
 
-class Machine(Reactor):
-    """A reactor whose listeners hear nobody."""
-
-    def addReader(self, reader):
-        pass
-
-    removeReader = removeWriter = addWriter = addReader
-
-    def listenUDP(self, port, protocol, interface):
-        protocol.transport = Transport()
-        protocol.transport.write = lambda datagram, address: None
-        protocol.startProtocol()
-        return self
-
-    def stopListening(self):
-        pass
-
-
 @pytest.fixture
 def node(tmp_path):
     def make(stop_ms):
--- a/tests/net/test_tenants.py
+++ b/tests/net/test_tenants.py
@@ -1,16 +1,24 @@
 """Which tenants there are where the table says so: before, during and after a change, and without a relay."""
 
+import json
 import random
+import subprocess
+import sys
 from types import SimpleNamespace
 
 import pytest
+from net_parts import SECOND, Machine
+from standins import SETTINGS
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.testing import MemoryReactorClock
 
+from lichencleat.chosen.file import read_text
 from lichencleat.distribution import kept
 from lichencleat.distribution.copy import TableCopy
 from lichencleat.distribution.table import Table
 from lichencleat.distribution.terms import Change, Digests, Pages
+from lichencleat.net.assembly import RealNode
+from lichencleat.net.config import read_told
 from lichencleat.net.host import Answer
 from lichencleat.net.report import Report
 from lichencleat.net.tenants import Distributed, Tenants
@@ -136,6 +144,70 @@
     assert connection.cases[again].key != connection.cases[other].key
 
 
+FILE = "distribution: {group: config, zone: z, sources: [[10.0.0.1:1]], tenants: true}"
+
+
+@pytest.fixture
+def whole_node(tmp_path):
+    """A node and the line that it told last."""
+
+    def make(text):
+        told = {"name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "members": "127.0.0.1:1"}
+        settings = {**SETTINGS, "orgs": [{"name": "old"}]}
+        told |= {"seed": "5", "stop_ms": 3000, "limits": {"sockets": 256}, "settings": settings}
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told))
+        reactor = Machine()
+        reactor.advance(1_000)
+        chosen, _ = read_text("f", text)
+        told = read_told({"BALANCER_CONFIG": str(config)})
+        node = RealNode(reactor, lambda: int(reactor.seconds() * SECOND), told, chosen)
+        node.told_lines = []
+        node.report.write = node.told_lines.append
+        node.start()
+        node.host.begin(False)
+        return node
+
+    return make
+
+
+def test_a_changed_section_needs_a_restart_and_a_hangup_leaves_what_runs(whole_node):
+    node = whole_node(FILE)
+    subscriber = node.distributed.subscriber
+    node.reload(node.told, read_text("f", FILE)[0])
+    assert "distribution" not in node.told_lines[-1]
+    for text in (FILE.replace("zone: z", "zone: y"), ""):
+        node.reload(node.told, read_text("f", text)[0])
+        assert "distribution changed, which needs a restart" in node.told_lines[-1]
+    assert node.distributed.subscriber is subscriber and not subscriber.stopped
+    plain = whole_node("")
+    plain.reload(plain.told, read_text("f", FILE)[0])
+    assert "distribution changed, which needs a restart" in plain.told_lines[-1]
+    assert plain.distributed is None and plain.dispatchers.tenants == frozenset([b"old"])
+
+
+def test_a_node_follows_until_its_end_and_then_closes(whole_node):
+    node = whole_node(FILE)
+    assert node.dispatchers.tenants is node.distributed.tenants and b"old" in node.dispatchers.tenants
+    node.reactor.advance(10.1)
+    assert any("distribution: version 0, age unknown, relay none" in line for line in node.told_lines)
+    subscriber = node.distributed.subscriber
+    node.leave()
+    node.reactor.advance(0.1)
+    assert not node.ended.called and not subscriber.stopped
+    for _ in range(300):
+        node.reactor.advance(0.01)
+    assert node.ended.called and subscriber.stopped and not subscriber.ways
+
+
+def test_off_means_not_imported():
+    text = "from lichencleat.chosen.file import read_text; import lichencleat.net.assembly, sys; "
+    text += "assert read_text('f', 'log: {form: json}')[0].log; print(*sys.modules)"
+    ran = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True)
+    assert "lichencleat.net.assembly" in ran.stdout.split()
+    assert not [each for each in ran.stdout.split() if "distribution" in each or each == "xxhash"]
+
+
 def make(directory=None, tenants=True):
     reactor = MemoryReactorClock()
     chosen = SimpleNamespace(
--- a/tests/net_parts.py
+++ b/tests/net_parts.py
@@ -37,3 +37,23 @@
 
     def stopConnecting(self):
         pass
+
+    disconnect = stopConnecting
+
+
+class Machine(Reactor):
+    """A reactor whose listeners hear nobody."""
+
+    def addReader(self, reader):
+        pass
+
+    removeReader = removeWriter = addWriter = addReader
+
+    def listenUDP(self, port, protocol, interface):
+        protocol.transport = Transport()
+        protocol.transport.write = lambda datagram, address: None
+        protocol.startProtocol()
+        return self
+
+    def stopListening(self):
+        pass
