Distribution: what was taken is told in the same turn; a voter's example

Between a take and the feeder's word of it a turn of the reactor could pass, in which an answer told an age of another version. The node's lines say what they are of.

--- a/lichencleat/distribution/subscriber.py
+++ b/lichencleat/distribution/subscriber.py
@@ -233,7 +233,7 @@
             self.trouble()
             ready = None
         self.follower.stepped(self.now(), ready)
-        self.stir()
+        self.pull()  # in this turn: what was taken is told before anything else is read
 
     def stir(self) -> None:
         if self.begun and not self.stirred and not self.stopped:
--- a/lichencleat/net/tenants.py
+++ b/lichencleat/net/tenants.py
@@ -50,6 +50,19 @@
         return self.table.find(TENANT, name) is not None
 
 
+class Said:
+    """The node's events, with what they are of."""
+
+    def __init__(self, events: Any) -> None:
+        self.events = events
+
+    def info(self, event: str, **fields: Any) -> None:
+        self.events.info(f"distribution: {event}", **fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        self.events.warning(f"distribution: {event}", **fields)
+
+
 class Distributed:
     """Owns the links to relays and what is kept on the disk; given back in `stop`."""
 
@@ -67,7 +80,7 @@
         `unix`: µs; `report`: as net.report.Report.
         """
         self.reactor, self.name, self.chosen, self.unix, self.rng = reactor, name, chosen, unix, rng
-        self.report, self.log = report, report.events()
+        self.report, self.log = report, Said(report.events())
         self.tenants = Tenants(settings)
         self.kept: Kept | None = None
         self.mark = b""
@@ -103,7 +116,7 @@
 
     def disk_says(self, what: str) -> None:
         self.report.count("distribution", "words of the disk")
-        self.log.warning("distribution", disk=what)
+        self.log.warning("disk", says=what)
 
     def follow(self, table: Table) -> None:
         copy = TableCopy(table, self.mark)
--- a/tests/distribution/test_relay_file.py
+++ b/tests/distribution/test_relay_file.py
@@ -7,7 +7,9 @@
 from lichencleat.chosen.file import SOURCES_MOST, WrongFileError, read_file
 from lichencleat.distribution.file import read_relay
 from lichencleat.distribution.terms import RELAYS_MOST
+from lichencleat.quorum.file import read_quorum
 
+EXAMPLES = Path(__file__).parents[2] / "deploy" / "relays"
 GOOD = """distribution:
   group: config
   name: north-a-1
@@ -37,11 +39,13 @@
 
 @pytest.mark.parametrize("name", ["region", "zone"])
 def test_the_examples_are_right(name):
-    assert read_relay(f"{Path(__file__).parents[2]}/deploy/relays/{name}.yaml").group == "config"
+    assert read_relay(f"{EXAMPLES}/{name}.yaml").group == "config"
+    voter = read_quorum(f"{EXAMPLES}/voter.yaml", member=True)
+    assert voter.group == "config" and voter.distribution
 
 
 def test_a_node_s_section_is_read_and_its_mistakes_are_told(file):
-    chosen = read_file(f"{Path(__file__).parents[2]}/deploy/relays/node.yaml").distribution
+    chosen = read_file(f"{EXAMPLES}/node.yaml").distribution
     assert (chosen.zone, chosen.tenants, chosen.directory) == ("north-a", True, None)
     assert read_file(file("")).distribution is None and SOURCES_MOST == RELAYS_MOST
     for text, told in (
