--- /dev/null
+++ b/tests/fleet/test_publishing.py
@@ -0,0 +1,83 @@
+"""Configuration published by the commands to three real voters, over cuts of power."""
+
+import json
+
+import pytest
+
+from lichencleat.lab.rig.rig import Rig
+
+
+@pytest.fixture
+def rig(tmp_path):
+    made = Rig(tmp_path)
+    for each in made.voters.values():
+        each.chosen["distribution"] = True
+    try:
+        made.form()
+        yield made
+    finally:
+        made.close()
+
+
+def run(rig, command, *words):
+    file = next(iter(rig.voters.values())).file
+    return rig.command("distribution", command, *([str(file)] if command != "check" else []), *words)
+
+
+def ages(rig):
+    """Version and age, in s, of each voter that answers; a subscriber would be told the same."""
+    code, said = run(rig, "status", "--json")
+    return {
+        each["name"]: (each["version"], each["age_us"])
+        for each in json.loads(said.splitlines()[0])["members"].values()
+        if isinstance(each, dict)
+    }
+
+
+def test_what_was_published_is_shown_and_fed_by_every_voter_after_cuts(rig, tmp_path):
+    small, large, wrong = (str(tmp_path / name) for name in ("a.yaml", "b.jsonl", "c.jsonl"))
+    with open(small, "w") as file:
+        file.write("records:\n- {kind: tenant, name: t1, value: {rate: 5}}\n")
+    with open(large, "w") as file:
+        file.writelines(
+            json.dumps({"kind": "route", "name": f"r{number}", "value": {"to": number}}) + "\n"
+            for number in range(1_500)
+        )
+    with open(wrong, "w") as file:
+        file.write('{"kind": "tenant", "name": "t2", "value": 1}\n{"kind": "tenant"}\n')
+    assert run(rig, "check", small)[0] == 0
+    code, said = run(rig, "publish", small, "--json", "--only-if", "0")
+    first = json.loads(said)["version"]
+    assert code == 0 and first
+    code, said = run(rig, "publish", large, "--in-batches", "--json")
+    assert code == 0 and json.loads(said.splitlines()[-1])["batches"] == 3, said
+    code, said = run(rig, "publish", wrong)
+    assert code == 2 and f"{wrong}, line 2: " in said
+    with open(small, "w") as file:
+        file.write("records:\n- {kind: tenant, name: t1, gone: true}\n")
+    rig.leader().kill()
+    code, said = run(rig, "publish", small, "--json")
+    assert code == 0, said
+    last = json.loads(said)["version"]
+    for each in rig.voters.values():
+        each.kill()
+    for each in rig.voters.values():
+        each.start()
+    rig.until(lambda: rig.leader(), "a leader again")
+    code, said = run(rig, "show", "tenant", "t1", "--at", str(first), "--json")
+    assert (code, json.loads(said)["value"]) == (0, {"rate": 5})
+    assert run(rig, "show", "tenant", "t1")[0] == 1 and run(rig, "show", "tenant", "t2")[0] == 1
+    code, said = run(rig, "diff", str(first), str(last), "--json")
+    assert code == 0 and len(json.loads(said)) == 1_501
+    rig.until(
+        lambda: (
+            len(found := ages(rig)) == 3
+            and all(version == last and 0 <= age < 2_000_000 for version, age in found.values())
+        ),
+        "all voters to serve the newest",
+    )
+    client = rig.client()  # leases and renewals never travel with configuration
+    assert rig.ask(client.read, "owners", None, 10.0) is None
+    assert rig.ask(client.propose, "owners", ["define", "job", ""], 10.0) is None
+    rig.voters["v1"].signal(15)
+    assert rig.voters["v1"].ended() == 0
