--- a/lichencleat/distribution/rebuild.py
+++ b/lichencleat/distribution/rebuild.py
@@ -63,7 +63,7 @@
             self.set_right(past.digests)
 
     def missing(self, most: int) -> list[int]:
-        """Numbers of pages still wanted, in order."""
+        """Numbers of pages still wanted."""
         return [number for number, _ in zip(self.wanted, range(most), strict=False)]
 
     def put(self, number: int, packed: bytes) -> bool:
--- /dev/null
+++ b/tests/distribution/test_hollow.py
@@ -0,0 +1,166 @@
+"""Shared copies do what a copy of one's own does: the same versions, bytes, answers and errors."""
+
+import random
+
+import pytest
+
+from lichencleat.distribution import pages
+from lichencleat.distribution.copy import TableCopy
+from lichencleat.distribution.errors import ChainError, SpoiltError, TableError
+from lichencleat.distribution.table import Table
+from lichencleat.distribution.terms import PAGES, Batch, Change, Digests, Pages
+from lichencleat.lab.hollow import Shared, SharedCopy
+
+NAMES = [f"t{number}" for number in range(40)]
+
+
+class Source:
+    """A table with all its batches and views."""
+
+    def __init__(self, rng: random.Random, count: int) -> None:
+        self.table, self.batches, self.views = Table(), [], []
+        for version in range(1, count + 1):
+            names = rng.sample(NAMES, 6)
+            changes = [Change("tenant", name, rng.choice([None, rng.randbytes(5)])) for name in names]
+            self.batches.append(self.table.apply(version * 2, changes))
+            self.views.append(self.table.view())
+
+
+def told(call, *args):
+    """What it gives, or the kind of its error."""
+    try:
+        return call(*args)
+    except TableError as wrong:
+        return type(wrong)
+
+
+def goes_on(copy):
+    """Slices until it is ready or spoilt, or enough of them: how many is what hollow ones leave out."""
+    for _ in range(40):
+        ready = told(copy.step)
+        if ready is not False:
+            return ready
+    return False
+
+
+def spoilt(rng, page):
+    number, data = page
+    return number, rng.choice([data[:-1], b"", bytes([data[0] ^ 1]) + data[1:], data + b"x"])
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_in_step_with_a_copy_of_ones_own(seed):
+    rng = random.Random(seed)
+    source, other = Source(rng, 12), Source(random.Random(seed + 100), 12)
+    shared = Shared()
+    pairs = [(TableCopy(), SharedCopy(shared)) for _ in range(5)]
+    counts = {"taken": 0, "wrong": 0}
+    for _ in range(400):
+        if rng.random() < 0.1:  # a node is replaced
+            pairs[rng.randrange(5)] = TableCopy(), SharedCopy(shared)
+        own, hollow = rng.choice(pairs)
+        what = rng.randrange(8)
+        if what < 3:
+            at = next((at for at, each in enumerate(source.batches) if each.past == own.version), 0)
+            at = at if rng.random() < 0.9 else rng.randrange(12)
+            batches = source.batches[at : at + rng.randrange(1, 4)]
+            if rng.random() < 0.1 and batches:
+                batches[-1] = Batch(
+                    batches[-1].version, batches[-1].past, batches[-1].digest, batches[-1].changes[1:]
+                )
+            assert told(own.stage, batches) == told(hollow.stage, batches)
+        elif what < 5:
+            whose = source if rng.random() < 0.9 else other
+            view = rng.choice(whose.views)
+            head = view.head(0)
+            if rng.random() < 0.1:
+                head = Digests(head.version, head.digest, head.pages[16:] + head.pages[:16], 0)
+            own.begin(head)
+            hollow.begin(head)
+            for _ in range(rng.randrange(40)):
+                numbers = sorted(own.missing(PAGES))
+                assert numbers == sorted(hollow.missing(PAGES))
+                assert len(own.missing(4)) == len(hollow.missing(4)) == len(numbers[:4])
+                numbers = numbers[:4]
+                sent = [(number, view.packed(number)) for number in numbers]
+                if sent and rng.random() < 0.05:
+                    sent[-1] = spoilt(rng, sent[-1])
+                assert told(own.put, Pages(head.version, tuple(sent))) == told(
+                    hollow.put, Pages(head.version, tuple(sent))
+                )
+                assert goes_on(own) == goes_on(hollow)
+        elif what == 5:
+            own.drop()
+            hollow.drop()
+        if rng.random() < 0.9:
+            ready, same = goes_on(own), goes_on(hollow)
+            assert ready == same
+            counts["wrong"] += ready in (SpoiltError, ChainError)
+        if rng.random() < 0.8:
+            taken = told(own.take)
+            assert taken == told(hollow.take)
+            counts["taken"] += taken is not ChainError
+        assert (own.version, own.digest) == (hollow.version, hollow.digest)
+        assert own.table.pages == hollow.table.pages
+        assert [own.find("tenant", name) for name in NAMES] == [hollow.find("tenant", name) for name in NAMES]
+    assert counts["taken"] > 50 and counts["wrong"] > 50
+
+
+def test_a_batch_is_applied_once_and_a_page_inflated_once(monkeypatch):
+    source, shared = Source(random.Random(1), 9), Shared()
+    copies = [SharedCopy(shared) for _ in range(20)]
+    for copy in copies:
+        copy.stage(tuple(Batch(*each.__reduce__()[1]) for each in source.batches[:4]))
+        while not copy.step():
+            pass
+        copy.take()
+    assert shared.applied == 4
+    assert all(each.table is copies[0].table for each in copies)
+    calls = []
+    once = pages.inflated
+    monkeypatch.setattr(pages, "inflated", lambda data: calls.append(data) or once(data))
+    view = source.views[8]
+    for copy in copies:
+        copy.begin(view.head(0))
+        numbers = copy.missing(PAGES)
+        assert copy.put(
+            Pages(view.version, tuple((number, bytes(view.packed(number))) for number in numbers))
+        )
+        assert copy.step() and copy.version == 8
+        copy.take()
+    assert len(calls) == len(numbers)
+    assert all(each.table is copies[0].table and each.digest == view.digest for each in copies)
+
+
+def test_what_is_found_again_is_bounded(monkeypatch):
+    monkeypatch.setattr("lichencleat.lab.hollow.TABLES_MOST", 3)
+    monkeypatch.setattr("lichencleat.lab.hollow.WORKS_MOST", 3)
+    source, shared = Source(random.Random(1), 12), Shared()
+    ahead, behind = SharedCopy(shared), SharedCopy(shared)
+    for copy in (ahead, behind):
+        for batch in source.batches:
+            copy.stage((batch,))
+            while not copy.step():
+                pass
+            copy.take()
+            assert max(len(shared.tables), len(shared.works)) <= 3
+    assert ahead.digest == behind.digest == source.table.digest
+
+
+def test_of_two_batches_with_one_version_each_is_looked_at():
+    source, shared = Source(random.Random(1), 2), Shared()
+    good = source.batches[0]
+    wrong = Batch(good.version, good.past, good.digest, good.changes[:-1])
+    for _ in range(2):
+        first, second = SharedCopy(shared), SharedCopy(shared)
+        first.stage((good,))
+        while not first.step():
+            pass
+        second.stage((wrong,))
+        with pytest.raises(SpoiltError):
+            while not second.step():
+                pass
+        first.take()
+        with pytest.raises(ChainError):
+            second.take()
+        assert (first.version, second.version) == (2, 0)
