Distribution: a relay that learns its group says so on the links that are there

A first start of all at once had every subscriber of a relay hang up and go a tier up, together, as soon as the group's mark came down the tree.

--- a/lichencleat/distribution/relay.py
+++ b/lichencleat/distribution/relay.py
@@ -127,21 +127,25 @@
         self.serving.stir()
 
     def learns(self) -> None:
-        """Which group it is: that of what it has, before that the one above's. Who was greeted with another
-        word comes again, and learns it too.
+        """Which group it is: that of what it has, before that the one above's. Who was greeted without it is
+        greeted again, so that a first start has nobody come twice; who was told another one has to come anew.
         """
-        mark = self.copy.mark or self.follower.mark or self.mark
         if self.copy.mark != self.kept_mark:
             self.kept_mark = self.copy.mark
             if self.kept is not None:
                 self.kept.mark(self.kept_mark)
-        if mark == self.mark:
+        past, self.mark = self.mark, self.copy.mark or self.follower.mark or self.mark
+        if past == self.mark:
             return
-        self.mark = mark
-        self.log.info("joins", mark=mark.hex())
-        for link in list(self.door.links):
-            if link.welcome:
+        self.log.info("joins", mark=self.mark.hex())
+        for link in [each for each in self.door.links if each.welcome]:
+            if past:
                 link.transport.loseConnection()
+            else:
+                link.send(self.word(Welcome.COME))
+
+    def word(self, welcome: Welcome) -> Greeted:
+        return Greeted(welcome, self.mark, 0, self.chosen.name, Life(0, 0))
 
     # -- the door's owner ------------------------------------------------------------------------------
 
@@ -150,8 +154,7 @@
         if greeting.group and self.mark and greeting.group != self.mark:
             mine = False
         link.welcome = mine
-        welcome = Welcome.COME if mine else Welcome.OTHER_GROUP
-        link.send(Greeted(welcome, self.mark, 0, self.chosen.name, Life(0, 0)))
+        link.send(self.word(Welcome.COME if mine else Welcome.OTHER_GROUP))
         if not mine:
             self.count("turned away")
             self.log.warning("turns away", who=greeting.member, group=greeting.name)
--- a/lichencleat/distribution/subscriber.py
+++ b/lichencleat/distribution/subscriber.py
@@ -62,6 +62,8 @@
         frame = self.read(data)
         if isinstance(frame, Greeted) and self.way.link is None:
             self.way.greeted(self, frame)
+        elif isinstance(frame, Greeted) and self.way.link is self and not self.way.mark:
+            self.way.learned(frame)
         elif isinstance(frame, Reply) and self.way.link is self:
             self.way.replied(frame)
         elif frame is None:
@@ -81,6 +83,7 @@
     def __init__(self, host: Subscriber, relay: str) -> None:
         self.host, self.relay = host, relay
         self.link: Upward | None = None  # greeted and welcome
+        self.mark = b""  # of its group, as it said
         self.number = 0  # of the last question
         self.what = ""  # of the open question
         self.ended = False
@@ -99,8 +102,16 @@
             self.end("is of another group", "turned away")
             return
         self.calm()
-        self.link = link
-        self.host.opened(self, answer.group)
+        self.link, self.mark = link, answer.group
+        self.host.opened(self)
+
+    def learned(self, answer: Greeted) -> None:
+        """It did not know its group when it was called, and does now."""
+        if answer.welcome != Welcome.COME or (self.host.copy.mark or answer.group) != answer.group:
+            self.end("is of another group", "turned away")
+            return
+        self.mark = answer.group
+        self.host.learned(self)
 
     def ask(self, what: str, content: Any) -> None:
         assert self.link is not None
@@ -199,11 +210,16 @@
 
     # -- what happened ---------------------------------------------------------------------------------
 
-    def opened(self, way: Way, mark: bytes) -> None:
+    def opened(self, way: Way) -> None:
         if self.ways.get(way.relay) is way:
-            self.follower.opened(self.now(), way.relay, mark)
+            self.follower.opened(self.now(), way.relay, way.mark)
             self.stir()
 
+    def learned(self, way: Way) -> None:
+        if self.ways.get(way.relay) is way and self.follower.relay == way.relay:
+            self.follower.mark = way.mark
+            self.on_told()
+
     def told(self, way: Way, what: str, content: Any, why: str) -> None:
         if self.ways.get(way.relay) is way:
             self.follower.told(self.now(), way.relay, what, content, why)
