Capacity: figures of the table, relays and the simulated fleet taken over from their files

These are measured by their own benchmarks; the plan reads them. Rows and events of configuration are made of them. Tests of slopes, plan and taking over passed; at full size not all is measured yet.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -11,8 +11,7 @@
 import click
 import msgspec
 
-from benchmarks.capacity import Effort, Role, data_path, group, members, returns, state
-from benchmarks.capacity.taken import taken
+from benchmarks.capacity import Effort, Role, data_path, group, members, returns, state, taken
 from lichencleat.capacity.slopes import FORMAT, Line, Ran, Slopes, decode
 from lichencleat.cli import output
 
@@ -36,8 +35,11 @@
     "return": Role("simulated: lichencleat.lab.sim.revive, by plan", returns.back),
     "collector": Role("in process, IPFIX messages as the exporters make them", returns.collector),
     "senders": Role("in process, one message of each sender in turn", returns.senders),
-    "distribution": Role("taken over from the files named by --take", taken),
+    "table": Role("fresh processes: benchmarks.distribution_table --json, taken over", taken.table),
+    "fleet": Role("simulated: lichencleat.lab.sim.distribution --json, taken over", taken.fleet),
+    "hollow": Role("hollow nodes on loopback: benchmarks.distribution --json, taken over", taken.hollow),
 }
+TAKEN = ("table", "fleet", "hollow")
 
 
 def commit() -> str:
@@ -111,7 +113,7 @@
     effort = Effort(quick, seed, take)
     runs, lines = [], []
     click.echo(f"{os.cpu_count()} cores, {memory_mb()} MB, commit {commit()}")
-    for name in only or [each for each in ROLES if each != "distribution" or take]:
+    for name in only or [each for each in ROLES if take or each not in TAKEN]:
         ran, found = measured(name, effort)
         runs.append(ran)
         lines += found
--- a/benchmarks/capacity/data_path.py
+++ b/benchmarks/capacity/data_path.py
@@ -282,12 +282,11 @@
     return lines.made()
 
 
-HEALTH = b"".join(array(b"HEALTH", b"1", b""))
 ABORT = struct.pack("ii", 1, 0)  # a reset at close: no port waits
 
 
 def connections(effort: Effort) -> list[Line]:
-    """Callers that asked once and stay: what each costs in memory, and at rest in processor time."""
+    """Callers that had one answer and stay: what each costs in memory, and at rest in processor time."""
     lines = Lines("connections")
     lines.kind(
         "node.connections_mb", "connections", "MB", "the process's own; the kernel's buffers are beside"
@@ -295,7 +294,7 @@
     lines.kind("node.connections_core", "connections", "of a core", "at rest")
     sizes = effort.sizes((500, 1_000, 2_000, 4_000, 8_000, 16_000), (10, 20, 30, 40))
     for _ in range(effort.runs(3)):
-        with Node(settings(), descriptors=sizes[-1] + 1_000) as node:
+        with Node(settings(), descriptors=4 * sizes[-1]) as node:  # far from where it asks some to go
             open_: list[socket.socket] = []
             before = resident(node.pid)
             try:
@@ -303,10 +302,12 @@
                     while len(open_) < size:
                         sock = socket.create_connection(node.address, PATIENCE)
                         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
-                        sock.sendall(HEALTH)
+                        open_.append(sock)
+                        sock.sendall(request(1, random.getrandbits(60), len(open_)))
                         if not sock.recv(1_000):
                             raise ConnectionError(f"closed at {len(open_)} connections")
-                        open_.append(sock)
+                    if (there := len(os.listdir(f"/proc/{node.pid}/fd"))) < size:
+                        raise ConnectionError(f"{there} descriptors at the node for {size} connections")
                     lines.add("node.connections_mb", size, (resident(node.pid) - before) / 1e6)
                     cpu, at = cpu_of(node.pid), time.perf_counter()
                     time.sleep(effort.seconds(3.0))
--- a/lichencleat/capacity/events.py
+++ b/lichencleat/capacity/events.py
@@ -7,11 +7,16 @@
 from lichencleat.capacity.sizes import reports_waking
 from lichencleat.capacity.slopes import Slopes
 from lichencleat.capacity.target import DAY, Target
-from lichencleat.distribution.feed import FETCH_RATE, FETCHERS_MOST
+from lichencleat.distribution.feed import FETCH_RATE
 from lichencleat.distribution.terms import WINDOW_BATCHES
 from lichencleat.revive.terms import NODES_MOST
 
 CUT = 300.0  # s that a region is cut off
+LAST = "until the last one has what holds"
+MOST = "a change in force at 99 in 100 nodes"
+ALL = "a change in force at all, those that start included"
+SERVED = "until nine tenths are served, were all known"
+FETCHED = "of a relay's time for its snapshots, by its bound"
 
 
 class Figure(msgspec.Struct, frozen=True):
@@ -28,82 +33,82 @@
 
 
 def events(slopes: Slopes, target: Target) -> list[Event]:
-    tree = target.tree
+    def simulated(line: str, what: str) -> Figure:
+        found = slopes.line(line)
+        return Figure(what, None if found is None else found.at(target.nodes), "s", f"{line} (fleet)")
+
+    def lost(event: str) -> list[Figure]:
+        """With and without what the nodes' disks keep."""
+        return [
+            simulated(f"{event}_{disk}.{line}", f"{what}, {how}")
+            for disk, how in (("disk", "with a disk"), ("cold", "without one"))
+            for line, what in (("back_s", LAST), ("in_force_p99_s", MOST), ("in_force_all_s", ALL))
+        ]
+
+    tree, each_s = target.tree, DAY / max(target.restarts_per_day, 1e-9)
     relays = target.zones * tree.relays_a_zone
     zone, region = target.zone_nodes, -(-target.nodes // target.regions)
-    each_s = DAY / max(target.restarts_per_day, 1e-9)
-    lacks = target.changes_a_second * CUT
     return [
         Event(
             "a node replaced",
             1,
             [
                 Figure("one each", each_s, "s", "target"),
-                Figure("one each, of a relay", each_s * relays, "s", "target, tree"),
-                snapshots(slopes, target, 1),
-            ],
-        ),
-        Event(
-            "a rack lost and back",
-            target.rack,
-            [
-                Figure("snapshots a relay, without disks", target.rack / tree.relays_a_zone, "", "tree"),
-                snapshots(slopes, target, target.rack / tree.relays_a_zone),
+                Figure("one each, of a zone's relay", each_s * relays, "s", "target, tree"),
+                simulated("replaced.back_s", f"{LAST}, without a disk"),
+                simulated("replaced.in_force_p99_s", MOST),
+                simulated("replaced.in_force_all_s", ALL),
             ],
         ),
+        Event("a rack lost and back", target.rack, lost("rack")),
         Event(
             "a zone lost and back",
             zone,
             [
-                Figure("snapshots a relay, without disks", zone / tree.relays_a_zone, "", "tree"),
+                Figure("of all requests, that other zones take", 1 / target.zones, "", "target"),
+                *lost("zone"),
                 snapshots(slopes, target, zone / tree.relays_a_zone),
-                Figure("of the requests, that the other zones take", 1 / target.zones, "", "target"),
             ],
         ),
         Event(
             "a region cut off for five minutes and back",
             region,
             [
-                Figure("changes that each node lacks", lacks, "", "target"),
-                Figure("changes that a relay keeps", WINDOW_BATCHES, "", "distribution.terms.WINDOW_BATCHES"),
-                lacking(slopes, lacks),
+                Figure("changes that each node lacks", target.changes_a_second * CUT, "", "target"),
+                Figure(
+                    "changes that a relay keeps", WINDOW_BATCHES, "", "`distribution.terms.WINDOW_BATCHES`"
+                ),
+                simulated("region_cut.back_s", LAST),
+                simulated("region_cut.in_force_p99_s", MOST),
+                simulated("region_cut.in_force_all_s", ALL),
             ],
         ),
         Event(
             "the whole fleet after a power loss",
             target.nodes,
             [
+                *lost("power"),
                 snapshots(slopes, target, target.nodes / relays),
-                Figure("reports a second to one group", reports_waking(target), "", "revive.waking.OFTEN"),
-                Figure("nodes that a return knows at most", NODES_MOST, "", "revive.terms.NODES_MOST"),
-                returned(slopes, target),
+                Figure("reports a second to one group", reports_waking(target), "", "`revive.waking.OFTEN`"),
+                Figure("nodes that a return knows at most", NODES_MOST, "", "`revive.terms.NODES_MOST`"),
+                Figure(SERVED, at_nodes(slopes, target), "s", "fleet.to_90_s (return)"),
             ],
         ),
-        Event("a bad change taken back", 0, [in_force(slopes, target)]),
+        Event(
+            "a bad change taken back",
+            target.nodes,
+            [simulated("taken_back.in_force_p99_s", MOST), simulated("taken_back.in_force_all_s", ALL)],
+        ),
     ]
 
 
+def at_nodes(slopes: Slopes, target: Target) -> float | None:
+    line = slopes.line("fleet.to_90_s")
+    return None if line is None else line.at(target.nodes)
+
+
 def snapshots(slopes: Slopes, target: Target, count: float) -> Figure:
     """So many of one relay, one after another or side by side: the rate is for all of them."""
     line = slopes.line("table.snapshot_mb")
     value = None if line is None else count * line.at(target.records) / FETCH_RATE
-    basis = f"table.snapshot_mb, distribution.feed.FETCH_RATE; {FETCHERS_MOST} at once"
-    return Figure("until the last one has its snapshot, without disks", value, "s", basis)
-
-
-def lacking(slopes: Slopes, changes: float) -> Figure:
-    line = slopes.line("subscriber.change_bytes")
-    value = None if line is None else line.at(1) * changes / 1e3
-    return Figure("what each node is sent then", value, "KB", "subscriber.change_bytes")
-
-
-def returned(slopes: Slopes, target: Target) -> Figure:
-    line = slopes.line("fleet.to_90_s")
-    value = None if line is None else line.at(target.nodes)
-    return Figure("until nine tenths are served, were all known", value, "s", "fleet.to_90_s")
-
-
-def in_force(slopes: Slopes, target: Target) -> Figure:
-    line = slopes.line("fleet.in_force_s")
-    value = None if line is None else line.at(target.nodes)
-    return Figure("until the one before is in force again everywhere", value, "s", "fleet.in_force_s")
+    return Figure(FETCHED, value, "s", "table.snapshot_mb (table), `distribution.feed.FETCH_RATE`")
--- a/lichencleat/capacity/needs.py
+++ b/lichencleat/capacity/needs.py
@@ -37,7 +37,8 @@
 ADDED = Budget("added at p99", lambda t: t.added_p99_ms)
 ONE_CORE = Budget("one core: a process of its own", lambda t: 1.0)
 IN_FORCE = Budget("in force everywhere", lambda t: t.in_force_s)
-IN_FORCE_MS = Budget("in force everywhere", lambda t: t.in_force_s * 1e3)
+TURN = Budget("a turn of the reactor", lambda t: t.turn_ms)
+TURN_US = Budget("a turn of the reactor", lambda t: t.turn_ms * 1e3)
 BACK = Budget("back after a power loss (supposed)", lambda t: t.back_in_s)
 FILE = Budget("the file's most characters", lambda t: SIZE_MOST)
 SNAPSHOT = Budget("a snapshot's most bytes", lambda t: SNAPSHOT_MOST / 1e6)
@@ -181,20 +182,40 @@
 CARRIED = (
     Need("node", "the whole table: memory", "table.memory_mb", of.records, "MB", NODE_MEMORY, TREE,
          control="memory"),
-    Need("node", "taking over changes: the longest turn", "table.turn_ms", of.records, "ms", ADDED, TREE),
+    Need("node", "the whole table, fetched from nothing: memory", "table.memory_most_mb", of.records, "MB",
+         NODE_MEMORY, TREE),
+    Need("node", "taking over batches: the longest slice", "table.batch_slice_us", of.records, "µs",
+         TURN_US, TREE),
+    Need("node", "taking over a snapshot: the longest slice", "table.rebuild_slice_us", of.records, "µs",
+         TURN_US, TREE),
+    Need("node", "from the disk: the longest turn by the clock", "table.load_turn_ms", of.records, "ms",
+         TURN, TREE),
+    Need("node", "a look-up, p99", "table.find_us", of.records, "µs", None, TREE),
     Need("node", "following: processor time", "subscriber.core", of.changes, "of a core", NODE_CORE, TREE,
          control="core"),
-    Need("node", "following: bytes", "subscriber.bytes_s", of.changes, "bytes/s", NODE_BYTES, TREE,
-         control="bytes"),
-    Need("node", "snapshots at starts, a day's average: bytes", "table.snapshot_mb", of.records, "bytes/s",
-         NODE_BYTES,
-         TREE, control="bytes", times=lambda t, n: 1e6 * t.restarts_a_second / t.nodes),
+    Need("node", "taking over changes: processor time", "table.change_us", of.records, "of a core",
+         NODE_CORE, TREE,
+         times=changes_core, control="core"),
+    Need("node", "changes onto the disk: processor time", "table.kept_ms", of.records, "of a core",
+         NODE_CORE, TREE,
+         times=lambda t, n: t.changes_a_second / 1e3, control="core"),
+    Need("node", "snapshots at starts, a day's average: processor time", "table.rebuild_s", of.records,
+         "of a core",
+         NODE_CORE, TREE, times=lambda t, n: t.restarts_a_second / t.nodes, control="core"),
+    Need("node", "following, on sockets: bytes", "subscriber.bytes_s", of.changes, "bytes/s", NODE_BYTES,
+         TREE),
+    Need("node", "following: bytes", "calm.node_bytes_s", of.nodes, "bytes/s", NODE_BYTES, TREE),
+    Need("node", "with all starts without a disk, a day's average: bytes", "starts.day_bytes_s", of.nodes,
+         "bytes/s",
+         NODE_BYTES, TREE, control="bytes"),
     Need("relay", "a zone's nodes on one relay: processor time", "relay.core", of.zone_nodes, "of a core",
          ONE_CORE, TREE),
-    Need("relay", "a zone's nodes on one relay: bytes sent", "relay.bytes_s", of.zone_nodes, "bytes/s",
-         None, TREE),
     Need("relay", "a zone's nodes on one relay: memory", "relay.memory_mb", of.zone_nodes, "MB", None, TREE),
-    Need("publisher", "a batch at the voters", "source.batch_ms", of.burst, "ms", IN_FORCE_MS, TREE),
-    Need("publisher", "in force at all nodes", "fleet.in_force_s", of.nodes, "s", IN_FORCE, TREE),
+    Need("publisher", "in force at all nodes, in calm", "calm.in_force_all_s", of.nodes, "s", IN_FORCE, TREE),
+    Need("publisher", "in force at 99 in 100, in calm", "calm.in_force_p99_s", of.nodes, "s", IN_FORCE, TREE),
+    Need("publisher", "in force at all hollow nodes of one machine", "hollow.in_force_s", of.nodes, "s",
+         IN_FORCE, TREE),
+    Need("publisher", "a burst in force at all hollow nodes of one machine", "hollow.burst_s", of.nodes,
+         "s", IN_FORCE, TREE),
 )
 # fmt: on
--- a/lichencleat/capacity/target.py
+++ b/lichencleat/capacity/target.py
@@ -52,6 +52,7 @@
     machines: Annotated[int, Meta(ge=1, le=100_000)]
     failures_per_day: Rate
     restarts_per_day: Rate
+    turn_ms: Annotated[float, Meta(gt=0, le=1000)] = 1.0  # of the reactor, by what control does
     control: ControlBudget = ControlBudget()
     # from here on: what the plan supposes where the fleet's figures say nothing
     tree: Tree = Tree()
--- a/tests/capacity/test_plan.py
+++ b/tests/capacity/test_plan.py
@@ -100,15 +100,19 @@
 
 def test_control_of_a_node_is_the_sum_of_its_parts():
     some = [
-        named("subscriber.bytes_s", (0.1, 300), (1, 600)),
-        named("table.snapshot_mb", (1_000, 0.03), (560_000, 16.8)),
+        named("subscriber.core", (0.1, 0.0003), (1, 0.0006)),
+        named("table.change_us", (1_000, 100), (560_000, 200)),
+        named("table.kept_ms", (1_000, 0.4), (560_000, 0.5)),
+        named("table.rebuild_s", (1_000, 0.01), (560_000, 4.0)),
     ]
     plan = made(slopes(*some), TARGET)
-    parts = [each.value for each in plan.rows if each.control == "bytes"]
-    whole = next(each for each in plan.control if each.kind == "bytes")
-    assert whole.value == pytest.approx(sum(parts)) and len(parts) == 2
-    assert parts[1] == pytest.approx(16.8e6 * 20_000 / 86_400 / 3_300)
-    assert next(each for each in plan.control if each.kind == "core").value is None
+    parts = [each.value for each in plan.rows if each.control == "core"]
+    whole = next(each for each in plan.control if each.kind == "core")
+    assert len(parts) == 4 and whole.value == pytest.approx(sum(parts))
+    assert parts[1] == pytest.approx(200e-6 * 47_000 / 86_400)
+    assert parts[3] == pytest.approx(4.0 * 20_000 / 86_400 / 3_300)
+    plan = made(slopes(*some[:3]), TARGET)
+    assert next(each for each in plan.control if each.kind == "core").value is None  # a part is missing
 
 
 # -- the machines ------------------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/capacity/test_taken.py
@@ -0,0 +1,100 @@
+"""Figures of other benchmarks are taken over by the form of their files; one of none is refused."""
+
+import json
+import sys
+from pathlib import Path
+
+import click
+import pytest
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+
+from benchmarks.capacity import Effort, taken  # noqa: E402
+
+
+def fleet(nodes, worst):
+    spans = {"p50_ms": 70, "p99_ms": 150, "all_ms": worst, "count": nodes}
+    costs = {"node": {"bytes_a_second": 600, "peak_second": 10_000}}
+    back = {"cold": {"p50_ms": 1_000, "p99_ms": 2_000, "all_ms": 3_000, "count": 5}}
+    return {
+        "size": {"nodes": nodes},
+        "day": {"start_cold": 18_000_000, "day_cold": 1_900},
+        "runs": [
+            {"event": "rack cold", "in_force": spans, "back": back, "costs": costs},
+            {"event": "drawn", "in_force": spans, "back": {}, "costs": costs},
+        ],
+    }
+
+
+def hollow(nodes, core):
+    relays = {f"z0-{at}": {"subscribers": nodes // 2, "cpu_percent": core, "rss_mb": 80.0} for at in range(2)}
+    relays["r0"] = {"subscribers": 2, "cpu_percent": 50.0, "rss_mb": 200.0}  # of a region
+    part = {"node_cpu_percent": 0.1, "node_bytes_in_s": 100.0, "node_bytes_out_s": 50.0, "relays": relays}
+    changed = {"changes": 20, "seconds": 20.0, "in_force_ms": {"all": 250.0}, "node_cpu_percent": 0.3}
+    return {
+        "nodes": nodes,
+        "rest": part,
+        "changes": part | changed,
+        "burst": {"last_in_force_ms": {"all": 900.0}},
+    }
+
+
+def files(tmp_path, *found):
+    paths = []
+    for at, each in enumerate(found):
+        path = tmp_path / f"{at}.json"
+        path.write_text(json.dumps(each))
+        paths.append(str(path))
+    return Effort(take=tuple(paths))
+
+
+def by_name(lines):
+    return {each.name: each for each in lines}
+
+
+def test_the_fleet_by_its_sizes(tmp_path):
+    effort = files(tmp_path, fleet(3_300, 4_000), fleet(200, 500))
+    found = by_name(taken.fleet(effort))
+    assert [(each.size, each.values) for each in found["rack_cold.in_force_all_s"].points] == [
+        (200, [0.5]),
+        (3_300, [4.0]),
+    ]
+    assert found["rack_cold.back_s"].at(3_300) == 3.0
+    assert found["starts.cold_mb"].at(200) == 18.0
+    assert not any(name.startswith("drawn") for name in found)
+    assert all(each.simulated for each in found.values())
+
+
+def test_one_size_alone_makes_no_line(tmp_path):
+    assert taken.fleet(files(tmp_path, fleet(3_300, 4_000))) == []
+
+
+def test_relays_of_zones_and_hollow_nodes(tmp_path):
+    sizes = {"machine": {}, "fits": {}, "sizes": [hollow(100, 5.0), hollow(200, 10.0)]}
+    found = by_name(taken.hollow(files(tmp_path, sizes)))
+    assert [(each.size, each.values) for each in found["relay.core"].points] == [
+        (50, [0.05, 0.05]),
+        (100, [0.1, 0.1]),
+    ]
+    assert found["relay.memory_mb"].at(100) == 80.0
+    assert [each.size for each in found["subscriber.core"].points] == [0.0, 1.0]
+    assert found["subscriber.core"].points[1].values == [0.003, 0.003]
+    assert found["subscriber.bytes_s"].at(0) == 150.0
+
+
+def test_the_table_by_its_records(tmp_path):
+    figures = [
+        {"size": size} | {name: size * of for name, of, _, _ in taken.TABLE.values()} for size in (10, 20)
+    ]
+    found = by_name(taken.table(files(tmp_path, {"machine": {}, "figures": figures})))
+    assert set(found) == set(taken.TABLE)
+    assert found["table.memory_mb"].at(20) == 20.0
+
+
+def test_a_file_of_no_benchmark_is_refused(tmp_path):
+    with pytest.raises(click.ClickException, match="of no benchmark"):
+        taken.fleet(files(tmp_path, {"sizes": 3}))
+    path = tmp_path / "no.json"
+    path.write_text("{")
+    with pytest.raises(click.ClickException, match="no JSON"):
+        taken.fleet(Effort(take=(str(path),)))
