Distribution: all orders of a source, two relays and a node; ten planted mistakes found

Need: what goes wrong in the idea has to show before processes do. Change: the real decisions over a table of three records, explored in nine scenes; judged by the watch of histories, and by published contents, acknowledgements and ages.

--- /dev/null
+++ b/lichencleat/lab/explore_distribution.py
@@ -0,0 +1,280 @@
+"""A source, two relays and a node of the configuration's distribution, in all orders of what may happen.
+
+`python -m lichencleat.lab.explore_distribution` says how far all was tried in each scene, and that planted
+mistakes are caught. The setting and what is judged at each state: `tiny_distribution.py`. Most scenes begin
+with one version in force everywhere, and leave some messages to arrive at once, so that what they are about
+is tried further.
+"""
+
+from __future__ import annotations
+
+import pickle
+import time
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import click
+
+from lichencleat.distribution.feed import Feeder
+from lichencleat.distribution.follow import Follower, Question
+from lichencleat.distribution.taking import Taking
+from lichencleat.distribution.terms import FOLLOW, Batch, Digests, Fed, Follow, Pages, Say
+from lichencleat.lab.explore import Explored, explore
+from lichencleat.lab.tiny_distribution import NODE, RELAYS, TICK, Kinds, Limits, World
+from lichencleat.lab.tiny_table import Tiny, page_digest
+
+STATES_MOST = 60_000  # of one scene: some 40 s, and 300 MB
+
+
+class Moment:
+    """A world as the explorer wants it: packed, so that some 100,000 of them fit."""
+
+    def __init__(self, world: World) -> None:
+        self.packed = pickle.dumps(world, pickle.HIGHEST_PROTOCOL)
+        self.possible = tuple(world.actions())
+        self.marked = hash(world.key())
+        self.wrong = world.wrong
+
+    def actions(self) -> Iterable[Hashable]:
+        return self.possible
+
+    def after(self, action: Any) -> Moment:
+        world: World = pickle.loads(self.packed)
+        world.act(action)
+        return Moment(world)
+
+    def key(self) -> Hashable:
+        return self.marked
+
+    def violation(self) -> str | None:
+        return self.wrong
+
+
+@dataclass(frozen=True)
+class Scene:
+    limits: Limits
+    depth: int  # that is tried in CI
+    warm: bool = True  # begins with version 1 everywhere
+    script: tuple[Any, ...] = ()  # that has happened then
+
+
+LAGS = (("publish",), ("deliver", NODE, "A"), ("publish",), ("publish",))  # the node's question comes after
+SCENES = {
+    "cold": Scene(Limits(versions=2, ticks=2, losses=1, back=0), 5, warm=False),
+    "node": Scene(Limits(versions=2, ticks=3, losses=1, back=0, slices=True, slow=(NODE,), loses=(NODE,)), 8),
+    "relay lags": Scene(Limits(versions=2, ticks=3, losses=0, back=0, slow=("A", NODE)), 8),
+    "put back": Scene(Limits(versions=1, ticks=5, losses=1, back=1, slow=("A",), loses=(NODE,)), 6),
+    "snapshot": Scene(
+        Limits(versions=4, ticks=2, losses=1, back=0, window=1, slow=(NODE,), loses=(NODE,)), 9, script=LAGS
+    ),
+    "snapshot moves": Scene(
+        Limits(versions=4, ticks=1, losses=1, back=0, window=1, slow=(NODE,), loses=(NODE,)),
+        10,
+        script=(*LAGS, *(("deliver", NODE, "A"),) * 6, ("publish",)),
+    ),
+    "spoilt": Scene(Limits(versions=2, ticks=1, losses=1, back=0, spoils=1, slow=(NODE,), loses=(NODE,)), 9),
+    "spoilt piece": Scene(
+        Limits(versions=3, ticks=1, losses=1, back=0, spoils=1, window=1, slow=(NODE,), loses=(NODE,)),
+        9,
+        script=LAGS,
+    ),
+    "cut off": Scene(Limits(versions=1, ticks=4, losses=1, back=0, slow=RELAYS, loses=RELAYS), 7),
+}
+
+
+def begun(scene: Scene, kinds: Kinds) -> World:
+    if not scene.warm:
+        return World(kinds, scene.limits)
+    world = World(kinds, replace(scene.limits, versions=1, slow=()))
+    world.act(("publish",))
+    for _ in range(2):
+        world.passes(TICK)
+        world.act(("step", NODE)) if world.processes[NODE].stepping else world.settle()
+    world.limits, world.left = scene.limits, replace(scene.limits)
+    for action in scene.script:
+        world.act(action)
+    return world
+
+
+def play(scene: Scene, kinds: Kinds, depth: int, most: int = STATES_MOST) -> Explored:
+    begin = begun(scene, kinds)
+    if begin.wrong is not None:  # the way there was one of all orders, too
+        return Explored(1, violation=begin.wrong)
+    return explore(Moment(begin), depth, most)
+
+
+# -- mistakes, each of which leaves one part out ------------------------------------------------------------
+
+
+class TwoTurns(Tiny):
+    """A batch's first change is in force a turn before the others."""
+
+    def take(self) -> tuple[Batch, ...]:
+        changes = [change for batch in self.batches for change in batch.changes]
+        past = self.content
+        taken = super().take()
+        if taken:
+            self.content = (self.content[0], *past[1:])
+            self.rest = changes[1:]
+        return taken
+
+
+class Lax(Taking):
+    """Takes a snapshot of any version."""
+
+    def begin(self, head: Digests, relay: str, mark: bytes, knows: int | None) -> str:
+        self.copy.begin(head)
+        self.sets("snapshot", relay, mark, knows)
+        self.head = head
+        return ""
+
+
+class OlderRelay(Follower):
+    """Takes what the relay has, also where that is less."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.taking = Lax(self.copy)
+
+    def behind(self, now: int, relay: str, fed: Fed) -> None:
+        self.puts(now, "digests", None)
+
+
+class StreamFromNow(Follower):
+    """After a snapshot it asks for what follows the version that made it ask for one."""
+
+    newest = 0
+
+    def fed(self, now: int, relay: str, question: Question, fed: Fed) -> None:
+        if fed.say == Say.SNAPSHOT:
+            self.newest = fed.version
+        super().fed(now, relay, question, fed)
+
+    def takes(self, now: int) -> None:
+        copy: Any = self.copy
+        if self.taking.what == "snapshot":
+            head = copy.head
+            copy.head = Digests(self.newest, head.digest, head.pages, head.age)
+        super().takes(now)
+
+
+class Trusting(Tiny):
+    """Pages that came fit, whatever digest the snapshot's head has for them."""
+
+    def trusts(self) -> None:
+        assert self.head is not None
+        digests = self.digests()
+        for number, page in self.pages.items():
+            digests[number] = page_digest(number, page)
+        self.head = Digests(self.head.version, self.head.digest, b"".join(digests), self.head.age)
+
+    def step(self) -> bool:
+        return super().step() if self.batches else not self.missing(1)
+
+
+class OldPages(Trusting):
+    """A snapshot that goes on elsewhere keeps the pages of the first one."""
+
+    def begin(self, head: Digests) -> None:
+        super().begin(head)
+        self.trusts()
+
+
+class SpoiltPiece(Trusting):
+    """Pages are taken as they come."""
+
+    def put(self, pages: Pages) -> bool:
+        self.pages.update(pages.pages)
+        self.trusts()
+        return True
+
+
+class SpoiltBatch(Tiny):
+    """A batch's digest is not compared."""
+
+    def step(self) -> bool:
+        return bool(self.batches) or super().step()
+
+
+class EarlyWord(Follower):
+    """Asks for what follows a batch while that is still staged: it acknowledges it."""
+
+    def step(self) -> None:
+        super().step()
+        copy: Any = self.copy
+        if self.taking.what == "batches" and self.relay is not None and self.question is None:
+            last = copy.batches[-1]
+            self.puts(self.seen, FOLLOW, Follow(last.version, last.digest, ()))
+
+
+class AgeFromZero(Feeder):
+    """Whatever it hears from above is as of now."""
+
+    def known(self, now: int, age: int) -> None:
+        super().known(now, 0)
+
+
+class AgeOfStart(Feeder):
+    """What it has at its start is as of then."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.word = (args[-1], 0)
+
+
+class AgeWhenHeard(Follower):
+    """An answer's age counts from when it arrived."""
+
+    heard = 0
+
+    def told(self, now: int, relay: str, what: str, content: Any, why: str = "") -> None:
+        self.heard = now
+        super().told(now, relay, what, content, why)
+
+    def knows(self, moment: int | None) -> None:
+        super().knows(moment if moment is None else self.heard)
+
+
+MISTAKES: dict[str, tuple[str, Kinds, int]] = {  # name -> scene, kinds, depth in which it is caught
+    "a batch in two turns": ("node", Kinds(table=TwoTurns), 4),
+    "an older relay followed": ("put back", Kinds(follower=OlderRelay), 8),
+    "a change lost between snapshot and stream": ("snapshot", Kinds(follower=StreamFromNow), 9),
+    "pages of two snapshots in one": ("snapshot moves", Kinds(table=OldPages), 10),
+    "a spoilt piece trusted": ("spoilt piece", Kinds(table=SpoiltPiece), 9),
+    "a spoilt batch trusted": ("spoilt", Kinds(table=SpoiltBatch), 4),
+    "acknowledged before it is in force": ("node", Kinds(follower=EarlyWord), 4),
+    "an age from zero": ("relay lags", Kinds(feeder=AgeFromZero), 4),
+    "an age from the start": ("put back", Kinds(feeder=AgeOfStart), 4),
+    "an age from when it was heard": ("relay lags", Kinds(follower=AgeWhenHeard), 4),
+}
+
+
+@click.command()
+@click.option("--deeper", default=2, show_default=True, help="Steps beyond those that CI tries.")
+@click.option("--most", default=STATES_MOST, show_default=True, help="States of each scene.")
+@click.option("--only", default="", help="One scene.")
+def main(deeper: int, most: int, only: str) -> None:
+    """Tries everything to that depth, and that each planted mistake is caught."""
+    failed = False
+    for name, scene in SCENES.items():
+        if only and name != only:
+            continue
+        begin = time.monotonic()
+        found = play(scene, Kinds(), scene.depth + deeper, most)
+        failed = failed or found.violation is not None
+        click.echo(f"{name}: {found}, {time.monotonic() - begin:.0f} s")
+        for action in found.history:
+            click.echo(f"  {action}")
+    for name, (scene_name, kinds, depth) in MISTAKES.items():
+        if only and scene_name != only:
+            continue
+        caught = play(SCENES[scene_name], kinds, depth + deeper, most)
+        failed = failed or caught.violation is None
+        said = f"{len(caught.history)} steps, {caught.states} states"
+        click.echo(f"  {name}: {caught.violation or 'NOT CAUGHT'}, {said}")
+    raise SystemExit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lichencleat/lab/tiny_distribution.py
@@ -0,0 +1,429 @@
+"""A source, two relays and a node of the configuration's distribution: the real decisions over a table of
+three records, one step at a time.
+
+Driven through all orders by `explore_distribution.py`, and at random by `tests/distribution/test_tree.py`. A
+tick is a span in which no message arrives, so silence and late answers are among the orders; so are lost
+links, spoilt answers, and a relay that is put back to what it once had. Judged at each state: no version goes
+back, none is there in part or with other bytes than published, nothing is acknowledged before it is in force,
+and no age is lower than true.
+"""
+
+from __future__ import annotations
+
+import io
+import pickle
+import random
+from collections.abc import Hashable, Iterable, Sequence
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from lichencleat.distribution.acts import Act
+from lichencleat.distribution.counts import OLDEST
+from lichencleat.distribution.errors import SpoiltError
+from lichencleat.distribution.feed import Answer, Feeder
+from lichencleat.distribution.follow import Follower, Times
+from lichencleat.distribution.terms import Batch, Change, Digests, Fed, Follow, Pages, Say
+from lichencleat.distribution.window import Window
+from lichencleat.lab.checkers.distribution import Acknowledged, DistributionWatch, Said
+from lichencleat.lab.tiny_table import MARK, NAMES, Tiny, changes, digest_of, published
+
+SOURCE, NODE = "s", "n"
+RELAYS = ("A", "B")
+TICK = 1_100_000  # µs: over any hold, so that two of them are over any patience
+WAKES_MOST = 200  # of one process in a tick: more would be a loop
+
+
+class TinyTimes(Times):
+    """One object for all worlds."""
+
+    def __reduce__(self) -> Any:
+        return tiny_times, ()
+
+
+def tiny_times() -> Times:
+    return TIMES
+
+
+TIMES = TinyTimes(
+    move=(0, 0), home=(2_000_000, 2_000_000), busy=(1_000_000, 1_000_000), failed=(2_500_000, 2_500_000),
+    wrong=(5_000_000, 5_000_000), rest=(400_000, 800_000), look=(400_000, 800_000),
+)  # fmt: skip
+
+
+class Low(random.Random):
+    """The lowest of each draw: chance is among the orders already."""
+
+    def randint(self, a: int, b: int) -> int:
+        return a
+
+    def random(self) -> float:
+        return 0.5
+
+    def shuffle(self, x: Any) -> None:
+        pass
+
+    def __reduce__(self) -> Any:
+        return low, ()
+
+
+def low() -> Low:
+    return LOW
+
+
+LOW = Low()
+
+
+@dataclass
+class Process:
+    name: str
+    table: Tiny
+    feeder: Feeder | None = None
+    follower: Follower | None = None
+    life: int = 1
+    stepping: bool = False
+    had: tuple[int, ...] = (0,)  # versions that a copy of its disk may have
+
+
+@dataclass
+class Link:
+    """One connection, and the one message that may be on it."""
+
+    caller: str
+    called: str
+    who: int
+    message: tuple[Any, ...] = ("greeting",)
+
+
+@dataclass(frozen=True)
+class Limits:
+    """What may happen, and how often."""
+
+    versions: int = 3
+    ticks: int = 4
+    losses: int = 1
+    back: int = 1  # a relay is put back to an older copy
+    spoils: int = 0
+    slow: tuple[str, ...] = (*RELAYS, NODE)  # whose messages arrive in any order; others' at once
+    loses: tuple[str, ...] = (*RELAYS, NODE)  # whose links may be lost
+    window: int = 8  # batches that a feeder keeps
+    slices: bool = False  # of the node: whether its slices are late is among the orders
+    tiers: tuple[tuple[str, ...], ...] = (RELAYS, (SOURCE,))  # of the node
+
+
+@dataclass(frozen=True)
+class Kinds:
+    """The real ones, or one with a mistake."""
+
+    feeder: type[Feeder] = Feeder
+    follower: type[Follower] = Follower
+    table: type[Tiny] = Tiny
+
+
+class World:
+    """The setting at one moment."""
+
+    def __init__(self, kinds: Kinds, limits: Limits) -> None:
+        self.kinds, self.limits = kinds, limits
+        self.now = 1_000_000  # µs
+        self.left = replace(limits)
+        self.published = {0: self.now}  # version -> when
+        self.processes: dict[str, Process] = {}
+        self.links: dict[tuple[str, str], Link] = {}
+        self.watch = DistributionWatch()
+        self.wrong: str | None = None
+        self.begins(SOURCE, Tiny(), ())
+        for name in RELAYS:
+            self.begins(name, kinds.table(), ((SOURCE,),))
+        self.begins(NODE, kinds.table(), limits.tiers)
+        for name in (*RELAYS, NODE):
+            self.stir(name)
+
+    def begins(self, name: str, table: Tiny, tiers: Sequence[Sequence[str]]) -> None:
+        process = self.processes.get(name) or Process(name, table)
+        process.table, process.stepping = table, False
+        if name != NODE:
+            process.feeder = self.kinds.feeder(name, "z", table, self.now)
+            window = process.feeder.window
+            process.feeder.window = Window(window.version, window.digest, self.limits.window)
+        if name == SOURCE:
+            table.mark = MARK
+            assert process.feeder is not None
+            process.feeder.known(self.now, 0)
+        else:
+            process.follower = self.kinds.follower(tiers, table, LOW, self.now, name == NODE, "z", TIMES)
+        self.processes[name] = process
+
+    # -- what may happen next --------------------------------------------------------------------------
+
+    def actions(self) -> Iterable[Hashable]:
+        left = self.left
+        if self.wrong is not None:
+            return
+        if left.versions:
+            yield ("publish",)
+        for key, link in self.links.items():
+            if link.message:  # else it was settled
+                yield ("deliver", *key)
+                if left.spoils and self.can_spoil(link):
+                    yield ("spoil", *key)
+            if left.losses and key[0] in self.limits.loses:
+                yield ("lose", *key)
+        for name, process in self.processes.items():
+            if process.stepping:
+                yield ("step", name)
+            if name in RELAYS and left.back:
+                for version in process.had:
+                    if version < process.table.version:
+                        yield ("back", name, version)
+        if left.ticks:
+            yield ("tick",)
+
+    def act(self, action: Any) -> None:
+        getattr(self, action[0])(*action[1:])
+        self.settle()
+        self.judge()
+        for process in self.processes.values():  # nothing follows from these
+            if process.feeder is not None:
+                process.feeder.counters.clear()
+                process.feeder.shared.clear()
+                process.feeder.credit_at = self.now
+            if process.follower is not None:
+                process.follower.counters.clear()
+                process.follower.seen = self.now
+
+    def settle(self) -> None:
+        """Messages of those that are not slow arrive at once."""
+        while self.wrong is None:
+            slow = self.limits.slow
+            ready = (key for key, link in self.links.items() if link.message and key[0] not in slow)
+            key = next(ready, None)
+            if key is None:
+                return
+            self.deliver(*key)
+
+    def key(self) -> bytes:
+        """Equal for worlds from which the same may follow."""
+        links = [self.links[key] for key in sorted(self.links)]
+        told = io.BytesIO()
+        pickler = pickle.Pickler(told, pickle.HIGHEST_PROTOCOL)
+        pickler.fast = True  # what is there twice is written twice: it does not matter which history it has
+        pickler.dump((self.now, self.left, self.published, links, self.processes))
+        return told.getvalue()
+
+    def spend(self, what: str) -> None:
+        self.left = replace(self.left, **{what: getattr(self.left, what) - 1})
+
+    def publish(self) -> None:
+        self.spend("versions")
+        source = self.processes[SOURCE]
+        table = source.table
+        past, version = table.version, table.version + 1
+        table.version, table.content = version, published(version)
+        table.digest = digest_of(table.content)
+        self.published[version] = self.now
+        assert source.feeder is not None
+        source.feeder.grew(self.now, (Batch(version, past, table.digest, changes(past, version)),))
+        self.stir(SOURCE)
+
+    def deliver(self, caller: str, called: str) -> None:
+        link = self.links[caller, called]
+        message, link.message = link.message, ()
+        above, below = self.processes[called], self.processes[caller]
+        assert above.feeder is not None and below.follower is not None
+        if message[0] == "greeting":
+            above.feeder.joined(self.now, link.who)
+            below.follower.opened(self.now, called, above.table.mark)
+        elif message[0] == "question":
+            above.feeder.asked(self.now, link.who, 1, *message[1:])
+        else:
+            below.follower.told(self.now, called, *message[1:])
+            self.tells_age(below)
+        self.stir(called)
+        self.stir(caller)
+
+    def lose(self, caller: str, called: str) -> None:
+        self.spend("losses")
+        self.loses(caller, called)
+
+    def loses(self, caller: str, called: str) -> None:
+        self.closes(caller, called)
+        follower = self.processes[caller].follower
+        assert follower is not None
+        follower.lost(self.now, called, "lost")
+        self.stir(caller)
+
+    def closes(self, caller: str, called: str) -> None:
+        link = self.links.pop((caller, called), None)
+        feeder = self.processes[called].feeder
+        if link is not None and feeder is not None:
+            feeder.left(self.now, link.who)
+
+    def back(self, name: str, version: int) -> None:
+        """Another machine with an old copy of its disk."""
+        self.spend("back")
+        process = self.processes[name]
+        process.life += 1
+        callers = [key for key in self.links if key[1] == name]
+        for key in [key for key in self.links if key[0] == name]:
+            self.closes(*key)
+        self.begins(name, self.kinds.table(version), ((SOURCE,),))
+        for key in callers:
+            self.loses(*key)
+        self.stir(name)
+
+    def can_spoil(self, link: Link) -> bool:
+        content = link.message[2] if link.message[0] == "answer" else None
+        if isinstance(content, Fed):
+            return content.say == Say.NEWS
+        return isinstance(content, Pages) and bool(content.pages)
+
+    def spoil(self, caller: str, called: str) -> None:
+        """Other bytes arrive than were sent."""
+        self.spend("spoils")
+        link = self.links[caller, called]
+        kind, what, content = link.message
+        if isinstance(content, Fed):
+            last = content.batches[-1]
+            wrong = msgspec.structs.replace(last, changes=(Change("r", "c", b"wrong"),))
+            content = msgspec.structs.replace(content, batches=(*content.batches[:-1], wrong))
+        else:
+            pages = ((content.pages[0][0], b"wrong"), *content.pages[1:])
+            content = msgspec.structs.replace(content, pages=pages)
+        link.message = (kind, what, content)
+
+    def step(self, name: str) -> None:
+        process = self.processes[name]
+        process.stepping = False
+        try:
+            ready: bool | None = process.table.step()
+        except SpoiltError:
+            ready = None
+        assert process.follower is not None
+        process.follower.stepped(self.now, ready)
+        self.stir(name)
+
+    def tick(self) -> None:
+        """No message arrives for that long; timers run."""
+        self.spend("ticks")
+        self.passes(TICK)
+
+    def passes(self, span: int) -> None:
+        until = self.now + span
+        for _ in range(WAKES_MOST * len(self.processes)):
+            due = [(moment, name) for name in self.processes for moment in self.moments(name)]
+            moment, name = min(due)
+            if moment > until:
+                self.now = until
+                self.source_knows()
+                return
+            self.now = max(self.now, moment)
+            self.source_knows()
+            follower = self.processes[name].follower
+            if follower is not None:
+                follower.wakes(self.now)
+            self.stir(name)
+            self.judge()
+        raise RuntimeError(f"timers without end at {self.now}")
+
+    def moments(self, name: str) -> Iterable[int]:
+        process = self.processes[name]
+        if process.follower is not None:
+            yield process.follower.deadline()
+        deadline = process.feeder.deadline() if process.feeder is not None else None
+        if deadline is not None:
+            yield deadline
+
+    def source_knows(self) -> None:
+        feeder = self.processes[SOURCE].feeder
+        assert feeder is not None
+        feeder.known(self.now, 0)
+
+    # -- a host ----------------------------------------------------------------------------------------
+
+    def stir(self, name: str) -> None:
+        """Carries out what that process decides."""
+        process = self.processes[name]
+        if name == SOURCE:
+            self.source_knows()
+        feeder, follower = process.feeder, process.follower
+        while feeder is not None and (told := feeder.next_decision(self.now)) is not None:
+            for link in self.links.values():
+                if link.called == name and link.who == told.who:
+                    content = told.content if isinstance(told, Answer) else None
+                    link.message = ("answer", what_of(content), content)
+        while follower is not None:
+            decision = follower.next_decision(self.now)
+            if decision is not None:
+                self.carry_out(process, decision)
+            elif follower.deadline() <= self.now:
+                follower.wakes(self.now)
+            else:
+                break
+        if process.stepping and not (self.limits.slices and name == NODE):
+            self.step(name)
+
+    def carry_out(self, process: Process, decision: Any) -> None:
+        key = (process.name, decision.relay)
+        if decision.act is Act.OPEN:
+            taken = [link.who for link in self.links.values() if link.called == decision.relay]
+            who = next(number for number in range(9) if number not in taken)
+            self.links[key] = Link(*key, who)
+        elif decision.act is Act.CLOSE:
+            self.closes(*key)
+        elif decision.act is Act.ASK:
+            self.asks(process, decision.content)
+            self.links[key].message = ("question", decision.what, decision.content)
+        elif decision.act is Act.STEP:
+            process.stepping = True
+        elif decision.act is Act.TAKEN:
+            self.judge()
+            process.had = tuple(sorted({*process.had, process.table.version}))
+            if process.feeder is not None:
+                process.feeder.grew(self.now, decision.batches)
+                self.tells_age(process)
+                self.stir(process.name)
+
+    def tells_age(self, process: Process) -> None:
+        if process.feeder is not None and process.follower is not None:
+            process.feeder.known(self.now, process.follower.age(self.now))
+
+    # -- what must hold --------------------------------------------------------------------------------
+
+    def asks(self, process: Process, content: Any) -> None:
+        if isinstance(content, Follow):
+            self.judge()
+            told = Acknowledged(self.now, process.name, content.version, content.digest.hex())
+            self.watch.acknowledges([told])
+            table = process.table
+            if (content.version, content.digest) != (table.version, table.digest):
+                self.says(f"{process.name} acknowledges {content.version} and has {table.version}")
+
+    def says(self, wrong: str) -> None:
+        self.wrong = self.wrong or wrong
+
+    def judge(self) -> None:
+        for process in self.processes.values():
+            table = process.table
+            answers = dict(zip((f"pair/{each}" for each in NAMES), table.content, strict=True))
+            said = Said(self.now, process.name, process.life, table.version, table.digest.hex(), answers)
+            self.watch.in_force(said)
+            self.wrong = self.wrong or self.watch.wrong
+            if table.content != published(table.version):
+                self.says(f"{process.name} has {table.content} as version {table.version}")
+            if process.follower is not None:
+                self.judge_age(process.name, table.version, process.follower.age(self.now))
+            if process.feeder is not None:
+                self.judge_age(process.name, process.feeder.window.version, process.feeder.age(self.now))
+
+    def judge_age(self, name: str, version: int, age: int) -> None:
+        """At the moment that an age speaks of, nothing newer was published."""
+        newer = self.published.get(version + 1)
+        if age < OLDEST and newer is not None and self.now - age > newer:
+            self.says(f"{name} says {age} µs of version {version}, {self.now - newer} µs after the next one")
+
+
+def what_of(content: Any) -> str:
+    kinds = {Fed: "follow", Digests: "digests", Pages: "pages"}
+    return kinds.get(type(content), "follow")
