--- a/lichencleat/distribution/subscriber.py
+++ b/lichencleat/distribution/subscriber.py
@@ -34,7 +34,7 @@
 from lichencleat.quorum.seats import Life, Welcome
 from lichencleat.quorum.wire import FORMAT, Greeted, Greeting, Reply, Request, raw
 
-CALL = 1.5  # s for a link to open and to be greeted: under the 2 s in which another relay is to be asked
+CALL = 1.5  # s for a connection to open; the follower's patience is shorter, and counts until it is greeted
 AGAIN = 0.1  # s until decisions are pulled again after one that failed
 SECOND = 1_000_000  # µs
 
@@ -76,7 +76,9 @@
 
 
 class Way(ClientFactory):
-    """One try at one relay, from its opening to its end; a later one is another Way."""
+    """One try at one relay, from its opening to its end; a later one is another Way. Has no timer: the follower
+    gives up who opens no link or says nothing.
+    """
 
     noisy = False
 
@@ -87,7 +89,6 @@
         self.number = 0  # of the last question
         self.what = ""  # of the open question
         self.ended = False
-        self.patience = host.reactor.callLater(CALL, self.end, "no answer to the greeting")
         where, port = host_port(relay)
         self.connector = host.reactor.connectTCP(where, port, self, timeout=CALL)
 
@@ -101,7 +102,6 @@
         if answer.welcome != Welcome.COME:
             self.end("is of another group", "turned away")
             return
-        self.calm()
         self.link, self.mark = link, answer.group
         self.host.opened(self)
 
@@ -135,11 +135,6 @@
             return
         self.host.told(self, what, content, why)
 
-    def calm(self) -> None:
-        if self.patience is not None and self.patience.active():
-            self.patience.cancel()
-        self.patience = None
-
     def end(self, why: str, counted: str = "") -> None:
         """Of itself, the other end or the network: told once."""
         if self.ended:
@@ -152,7 +147,6 @@
     def drop(self) -> None:
         """Without a word: the follower wants it no more."""
         self.ended = True
-        self.calm()
         if self.link is not None:
             self.link.transport.abortConnection()
         else:
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -201,7 +201,7 @@
     zone.copy.mark = b"mark-two"
     zone.learns()
     assert place.net.run(10, lambda: node.follower.mark == b"mark-two")
-    assert node.counters()["left"] == 1
+    assert node.counters()["left"] == 1 and not node.counts
 
 
 def answers(place, port, answer):
@@ -269,6 +269,8 @@
     assert place.net.run(10, lambda: node.copy.version == 3)
     done = []
     node.stop()
+    place.net.run(0.1)
+    assert not zone.door.links and not zone.feeder.subscribers
     zone.stop().addCallback(done.append)
     zone.stop().addCallback(done.append)
     place.net.run(0.1)
