--- a/lichencleat/distribution/subscriber.py
+++ b/lichencleat/distribution/subscriber.py
@@ -76,8 +76,8 @@
 
 
 class Way(ClientFactory):
-    """One try at one relay, from its opening to its end; a later one is another Way. Has no timer: the follower
-    gives up who opens no link or says nothing.
+    """One try at one relay, from its opening to its end; a later one is another Way. It has no timer: the
+    follower gives up who opens no link or says nothing.
     """
 
     noisy = False
