--- a/tests/fleet/test_distribution.py
+++ b/tests/fleet/test_distribution.py
@@ -2,10 +2,13 @@
 waits for events, leaves all well behind it, and all that any node ever said is judged.
 """
 
+import random
+
 import pytest
 
 from lichencleat.distribution.terms import DIGESTS, FOLLOW, PAGES_OF
 from lichencleat.lab.rig.distribution import DistributionRig
+from lichencleat.lab.rig.rig import GROUP
 from lichencleat.lab.rig.tap import moment
 
 
@@ -214,3 +217,54 @@
     rig.until(lambda: rig.judged(wrong.name), "the one that trusts it to be found")
     assert "two digests" in rig.judged(wrong.name) or "two answers" in rig.judged(wrong.name)
     wrong.kill()
+
+
+def test_a_real_node_knows_the_tenants_that_there_are_while_its_relays_come_and_go(rig):
+    from lichencleat.lab.rig.nodes import HARD_LIMIT, RigNode
+
+    followed = {
+        "group": GROUP,
+        "zone": "a",
+        "sources": rig.sources("a"),
+        "directory": str(rig.path / "node"),
+        "tenants": True,
+    }
+    node = RigNode(rig, "node", {"distribution": followed, "log": {}}, work=0.005)
+    caller = node.caller()
+    rng = random.Random(1)
+
+    def answer(tenant):
+        """A refusal ends the connection: then there is another one soon."""
+
+        def ask():
+            asked = rig.relays.call(lambda: caller.ask(b"look", b"x", HARD_LIMIT, rng, t=tenant))
+            if asked is not None:
+                rig.until(lambda: asked.answers or asked.lost, "an answer")
+            return asked and asked.answers and asked.answers[0][0]
+
+        return rig.until(ask, f"an answer for {tenant}")
+
+    def knows(tenant, not_known):
+        """It works, for that one alone."""
+        return answer(tenant) == b"200" and answer(not_known) == b"500"
+
+    try:
+        rig.publish({"tenant/acme": {"tenant": "acme"}})
+        node.start()
+        rig.until(lambda: knows("acme", "nobody"), "a version to be in force there")
+        for each in ("a1", "a2"):
+            rig.feeding[each].kill()
+        rig.publish({"tenant/acme": None, "tenant/other": {"tenant": "other"}})
+        rig.until(lambda: knows("other", "acme"), "the next version to be in force")
+        node.kill()
+        pairs = rig.cut({"node"})
+        node.start()
+        rig.until(lambda: knows("other", "acme"), "it to go on from its disk")
+        rig.heal(pairs)
+    finally:
+        for each in ("a1", "a2"):
+            if not rig.feeding[each].up():
+                rig.feeding[each].start()
+        if node.up():
+            node.kill()
+        node.close()
