--- a/lichencleat/capacity/needs.py
+++ b/lichencleat/capacity/needs.py
@@ -106,8 +106,9 @@
     # -- gossip
     Need("member", "each node a member: processor time", "member.core", of.nodes, "of a core", NODE_CORE,
          "gossip", SOME),
-    Need("member", "each node a member: bytes sent", "member.bytes_s", of.nodes, "bytes/s", NODE_BYTES,
-         "gossip", SOME),
+    Need("member", "each node a member: bytes, sent and taken", "member.bytes_s", of.nodes, "bytes/s",
+         NODE_BYTES,
+         "gossip", SOME, lambda t, n: 2.0),
     Need("member", "each node a member: memory", "member.table_mb", of.nodes, "MB", NODE_MEMORY, "gossip",
          SOME),
     # -- configuration as it was carried before
--- a/lichencleat/capacity/page.py
+++ b/lichencleat/capacity/page.py
@@ -5,9 +5,11 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Sequence
 
+from lichencleat.capacity.glance import at_a_glance
 from lichencleat.capacity.machines import PUBLISHER, REGION, VOTER, ZONE, Left, region_of
 from lichencleat.capacity.plan import Plan, Row
 from lichencleat.capacity.slopes import Slopes
@@ -22,14 +24,14 @@
 
 
 def figure(value: float | None) -> str:
-    """Three figures that count."""
+    """Whole ones as they are, others with three figures that count."""
     if value is None:
         return "not measured"
-    if value == 0:
-        return "0"
+    if value == round(value):
+        return f"{value:,.0f}"
     if abs(value) >= 1_000:
-        exact = round(value) if abs(value) >= 100_000 else round(value, -1) if abs(value) >= 10_000 else value
-        return f"{exact:,.0f}"
+        places = 2 - math.floor(math.log10(abs(value)))
+        return f"{round(value, places):,.0f}"
     return f"{value:.3g}"
 
 
@@ -43,6 +45,7 @@
     return {
         "measured on": measured_on(slopes),
         "target": of_target(target),
+        "glance": glance(slopes, target),
         "roles": roles(plan),
         "slopes": lines(slopes),
         "extrapolated": extrapolated(plan),
@@ -73,6 +76,14 @@
     return text
 
 
+def glance(slopes: Slopes, target: Target) -> str:
+    rows = [
+        [each.role, each.state, *(figure(value) if value != "-" else "-" for value in each.figures())]
+        for each in at_a_glance(slopes, target)
+    ]
+    return table(["role", "state", "messages/s", "bytes/s", "of a core", "MB"], rows)
+
+
 # -- tables ------------------------------------------------------------------------------------------------
 
 
