--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -273,6 +273,7 @@
     lost.start()
     return {
         "subscribers_lost": before,
+        "oldest_s": max(word["oldest"] for word in words if word["zone"] == zone) / 1e6,
         "zone_in_force_ms": {"p50": quantile(takes, 0.5), "p99": quantile(takes, 0.99), "all": max(takes)},
         "seconds": ended["seconds"],
         "sibling": ended["relays"][sibling.name],
@@ -288,6 +289,7 @@
 
 
 def measure(nodes: int, records: int, idle: float, count: int, cold: bool) -> dict[str, Any]:
+    load = os.getloadavg()[0]  # what else ran
     with tempfile.TemporaryDirectory() as folder:
         rig = BenchRig(Path(folder))
         rig.patience = 60.0
@@ -310,7 +312,8 @@
             made = {
                 "nodes": nodes,
                 "records": records,
-                "processes": len(rig.children),
+                "processes": sum(each.poll() is None for each in rig.children),
+                "load_before": load,
                 "filled_s": filled,
                 "cold": cold,
                 "started_s": started,
@@ -341,13 +344,14 @@
             each["storm"]["subscribers_lost"],
             each["storm"]["zone_in_force_ms"]["all"],
             each["memory_mb"],
+            f"{each['load_before']:.1f}",
         ]
         for each in found
     ]
 
 
 HEAD = ["nodes", "records", "p50 ms", "p99 ms", "all ms", "burst of 50, ms", "B/s at rest", "cpu % at rest"]
-HEAD += ["cpu % changes", "lost", "storm all ms", "MB in all"]
+HEAD += ["cpu % changes", "lost", "storm all ms", "MB in all", "load before"]
 
 
 @click.command()
