Node: a library that a switched-on part lacks is one line and exit 2

Cause: RealNode imports a part's modules where the operators' file names it; without xxhash (or crc32c) the ModuleNotFoundError ended the node with a traceback (lichencleat/net/program.py, main). Change: named in one line with the extra to install.

--- a/lichencleat/net/program.py
+++ b/lichencleat/net/program.py
@@ -19,6 +19,7 @@
 from lichencleat.net.deadlines import Deadlines
 from lichencleat.net.report import Report
 
+EXTRAS = {"crc32c": "store", "sortedcontainers": "store", "structlog": "fleet", "xxhash": "fleet"}
 TIDY = 10_000_000  # µs between full collections: they take 2 ms, and closed connections are cycles
 
 
@@ -84,6 +85,15 @@
     except BadInputError as bad:
         print(f"lichencleat: {bad}", file=sys.stderr)
         return 2
+    except ModuleNotFoundError as missing:  # of a part that the operators' file switches on
+        if missing.name not in EXTRAS:
+            raise
+        wanted = EXTRAS[missing.name]
+        print(
+            f"lichencleat: LICHENCLEAT_FILE: needs {missing.name}: pip install 'lichencleat[{wanted}]'",
+            file=sys.stderr,
+        )
+        return 2
     except CannotListenError as bad:
         print(f"lichencleat: BALANCER_CONFIG: 'listen': {bad}", file=sys.stderr)
         return 2
--- a/tests/net/test_tenants.py
+++ b/tests/net/test_tenants.py
@@ -1,6 +1,7 @@
 """Which tenants there are where the table says so: before, during and after a change, and without a relay."""
 
 import json
+import os
 import random
 import subprocess
 import sys
@@ -153,6 +154,7 @@
 
     def make(text):
         told = {"name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "members": "127.0.0.1:1"}
+    told["limits"] = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
         settings = {**SETTINGS, "orgs": [{"name": "old"}]}
         told |= {"seed": "5", "stop_ms": 3000, "limits": {"sockets": 256}, "settings": settings}
         config = tmp_path / "config.json"
@@ -304,3 +306,18 @@
     opened.callback(disk)
     assert disk.calls == ["close"]
     assert node.subscriber is None and not reactor.getDelayedCalls()
+
+
+def test_a_missing_library_is_one_line_and_exit_2(tmp_path):
+    (tmp_path / "xxhash.py").write_text("raise ModuleNotFoundError('none', name='xxhash')\n")
+    config, chosen = tmp_path / "config.json", tmp_path / "chosen.yaml"
+    told = {"name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "members": "127.0.0.1:1"}
+    told["limits"] = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
+    config.write_text(json.dumps({**told, "seed": "a", "stop_ms": 3000, "settings": SETTINGS}))
+    chosen.write_text("distribution: {group: config, sources: [['127.0.0.1:1']]}\n")
+    variables = {"BALANCER_CONFIG": str(config), "LICHENCLEAT_FILE": str(chosen), "PYTHONPATH": str(tmp_path)}
+    ended = subprocess.run(
+        [sys.executable, "-m", "lichencleat"], capture_output=True, text=True, env=os.environ | variables
+    )
+    assert ended.returncode == 2 and ended.stderr.count("\n") == 1
+    assert "needs xxhash: pip install 'lichencleat[fleet]'" in ended.stderr
