--- a/tests/net/test_tenants.py
+++ b/tests/net/test_tenants.py
@@ -154,7 +154,6 @@
 
     def make(text):
         told = {"name": "n1", "listen": "127.0.0.1:0", "vm": "127.0.0.1:1", "members": "127.0.0.1:1"}
-    told["limits"] = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
         settings = {**SETTINGS, "orgs": [{"name": "old"}]}
         told |= {"seed": "5", "stop_ms": 3000, "limits": {"sockets": 256}, "settings": settings}
         config = tmp_path / "config.json"
