--- a/lichencleat/distribution/kept.py
+++ b/lichencleat/distribution/kept.py
@@ -11,7 +11,10 @@
 
 What is torn, spoilt, or belongs to another group is found at the start (each page's digest, their sum, the
 chain of batches) and not used: the table is then empty, `trouble` says why, and the next version is written
-over it. Comparing, compression, reading and writing are done in the store's threads.
+over it.
+
+Reading, compression and writing are done in the store's threads, in calls so short that they hold the
+interpreter's lock for no more than a millisecond; what was read is looked through in slices.
 """
 
 from __future__ import annotations
@@ -40,10 +43,11 @@
 FORMAT = 1
 RECENT_MOST = 1_024  # batches kept beside the pages: half an hour of changes, for those a little behind
 RECENT_BYTES = 1 << 20  # of these, and of those on their way there
-PIECE_BYTES = 2 << 20  # of pages packed in one call of a thread, and of a snapshot in one commit: some 50 ms
-PIECE_PAGES = 256  # in one piece: some 500 µs of the reactor's turn
-ONE_BYTES = 8 << 20  # of pages that are written in one commit; more goes beside the old ones
-READ_PAGES = 64  # read in one call of a thread: some 15 ms
+PIECE_BYTES = 512 << 10  # of pages packed in one call of a thread, and of a snapshot in one commit
+PIECE_PAGES = 32  # of these: the thread that writes holds the interpreter for some 30 µs each
+ONE_BYTES = 1 << 20  # of pages that are written in one commit; more goes beside the old ones
+READ_PAGES = 8  # read in one call of a thread: some 300 µs
+LOOK_PAGES = 2  # looked through in one slice: some 300 µs
 AGAIN = 10.0  # s until it is tried again after a failure
 STORE = Bounds(  # a full table of values that can't be packed, twice, with cleaning's share
     segment_bytes=4 << 20, disk_bytes=512 << 20, entries=16_384, memory_bytes=16 << 20, undo_entries=16_384
@@ -108,8 +112,10 @@
     return packed
 
 
-def unpack(number: int, data: bytes) -> tuple[bytes, int]:
-    """In a thread: the page, and its digest. Raises SpoiltError."""
+def unpack(number: int, data: bytes | None) -> tuple[bytes, int]:
+    """The page, and its digest. Raises SpoiltError."""
+    if data is None:
+        return b"", pages.EMPTY[number]
     page = pages.inflated(data[DIGEST:])
     digest = pages.digest_of(number, page)
     if digest.to_bytes(DIGEST, "little") != data[:DIGEST]:
@@ -196,10 +202,14 @@
         digests: list[int] = []
         records = 0
         for begin in range(0, PAGES, READ_PAGES):
-            found, count = yield self.store.reading(self.read_pages, range(begin, begin + READ_PAGES))
-            whole += [page for page, _ in found]
-            digests += [digest for _, digest in found]
-            records += count
+            raw = yield self.store.reading(self.read_pages, range(begin, begin + READ_PAGES))
+            for number, each in enumerate(raw, begin):
+                if number % LOOK_PAGES == 0:
+                    yield self.turn()
+                page, digest = unpack(number, each)
+                whole.append(page)
+                digests.append(digest)
+                records += pages.count_of(page)
         table = Table.assembled(head.version, whole, digests, records)
         if table.digest != head.digest:
             raise SpoiltError(f"the pages are not those of version {head.version}")
@@ -216,14 +226,16 @@
                 found.append(b"")
         return found
 
-    def read_pages(self, numbers: Sequence[int]) -> tuple[list[tuple[bytes, int]], int]:
-        """In a thread: pages, their digests, and how many records they have."""
-        found, count = [], 0
-        for number in numbers:
-            data = self.store.engine.get(page_key(number, slot_of(self.slots, number)))
-            found.append((b"", pages.EMPTY[number]) if data is None else unpack(number, data))
-            count += pages.count_of(found[-1][0])
-        return found, count
+    def read_pages(self, numbers: Sequence[int]) -> list[bytes | None]:
+        """In a thread."""
+        get = self.store.engine.get
+        return [get(page_key(number, slot_of(self.slots, number))) for number in numbers]
+
+    def turn(self) -> Deferred[None]:
+        """Others have their turn first."""
+        turn: Deferred[None] = Deferred()
+        self.reactor.callLater(0, turn.callback, None)
+        return turn
 
     # -- what is to be kept ----------------------------------------------------------------------------
 
--- a/lichencleat/distribution/table.py
+++ b/lichencleat/distribution/table.py
@@ -31,7 +31,8 @@
     encode,
 )
 
-SLICE_BYTES = 48 << 10  # of pages rewritten in one slice, but one page at least: some 200 µs
+SLICE_BYTES = 96 << 10  # of pages rewritten in one slice, but one page at least: some 200 µs
+PAGE_COST = 4 << 10  # bytes that a page counts for beside its own: what a small one costs
 SLICE_CHANGES = 128  # changes looked at in one slice: some 200 µs
 
 __all__ = ["ChainError", "Rebuild", "SpoiltError", "Staging", "Table", "UnfitError", "View"]
@@ -215,7 +216,7 @@
             return False
         room = SLICE_BYTES
         while self.by_page and room > 0:
-            room -= self.write(*self.by_page.popitem())
+            room -= PAGE_COST + self.write(*self.by_page.popitem())
         if not self.by_page:
             self.end(batch)
         return self.at == len(self.batches)
--- a/tests/distribution/test_kept.py
+++ b/tests/distribution/test_kept.py
@@ -57,7 +57,10 @@
         self.kept: Kept = result(made_kept(self.clock, self.store, group, self.lines.append))
 
     def load(self):
-        return result(self.kept.load())
+        told = self.kept.load()
+        while not told.called:  # each slice is a turn
+            self.clock.advance(0)
+        return result(told)
 
     def stop(self):
         result(self.kept.close())
@@ -357,8 +360,11 @@
         results = []
         told.addBoth(results.append)
         while not results:
-            call, args = self.handed.get(timeout=20)
-            call(*args)
+            if any(each.getTime() <= self.seconds() for each in self.getDelayedCalls()):
+                self.advance(0)
+            else:
+                call, args = self.handed.get(timeout=20)
+                call(*args)
         return results[0]
 
 
