--- a/lichencleat/lab/sim/distribution_fleet.py
+++ b/lichencleat/lab/sim/distribution_fleet.py
@@ -56,7 +56,8 @@
     """What runs in one process: a feeder, a follower, or both."""
 
     __slots__ = ("fleet", "world", "site", "copy", "feeder", "follower", "joined", "packed", "silent",
-                 "budget", "feeds_at", "follows_at", "counted_at", "content", "size")  # fmt: skip
+                 "budget", "feeds_at", "follows_at", "counted_at", "opened_at", "content",
+                 "size")  # fmt: skip
 
     def __init__(self, fleet: Fleet, site: Site) -> None:
         self.fleet, self.world, self.site = fleet, fleet.world, site
@@ -73,6 +74,7 @@
         self.feeds_at: int | None = None
         self.follows_at: int | None = None
         self.counted_at = 0
+        self.opened_at = 0  # µs: a link to a relay
         self.content: Any = None  # the last answer: one that goes to many is encoded once
         self.size = 0
 
@@ -225,7 +227,8 @@
 
     def link_opened(self, link: Link) -> None:
         assert self.follower is not None
-        self.follower.opened(self.world.clockwork.now, link.called.name, MARK)
+        self.opened_at = self.world.clockwork.now
+        self.follower.opened(self.opened_at, link.called.name, MARK)
         self.pump()
 
     def link_lost(self, link: Link) -> None:
--- a/lichencleat/lab/sim/distribution_table.py
+++ b/lichencleat/lab/sim/distribution_table.py
@@ -9,7 +9,7 @@
 
 import copy as copying
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 from lichencleat.distribution import pages
@@ -51,8 +51,10 @@
         self.table = shared.versions[version]
         self.slices = 0  # for what came since the host last looked
 
-    def items(self) -> Iterable[tuple[str, str, bytes]]:
-        return self.table.items()
+    def items(self) -> Iterator[tuple[str, str, bytes]]:
+        for page in self.table.pages:
+            if page:
+                yield from pages.entries(page)
 
     def whole(self) -> Any:
         return self.table
