Distribution: a relay's word is stale after 2 s, and the first looks for a fresher one come sooner

Cause: with 2.5 s, and up to 1 s until the next answer and up to 1 s until the first look, a change published right after a relay's own links were cut could take over 5 s to those below it.

--- a/lichencleat/distribution/choice.py
+++ b/lichencleat/distribution/choice.py
@@ -24,7 +24,7 @@
     patience: int = 1_000_000  # on top of a hold, until a relay counts as silent
     opening: int = 1_000_000  # for a link to be opened
     overslept: int = 300_000  # a timer later than this: it was this process that slept, so it looks again
-    stale: int = 2_500_000  # age of a relay's word: over two tiers' holds and their ways, twice
+    stale: int = 2_000_000  # age of a relay's word: over what two tiers' holds and ways add up to, twice
     fresher: int = 1_000_000  # by which another one's word has to be younger to be worth a move
     move: Span = (0, 500_000)  # before another one is opened: a lost relay's subscribers come spread
     home: Span = (30_000_000, 90_000_000)  # until the first choice is looked at again
@@ -33,11 +33,8 @@
     again: int = 100_000  # before such a relay is asked again
     failed: Span = (5_000_000, 15_000_000)  # that one that failed is left out, as long as there are others
     wrong: Span = (30_000_000, 90_000_000)  # one of another group, or whose bytes or history were wrong
-    rest: Span = (
-        500_000,
-        8_000_000,
-    )  # where all failed: doubled from first to second, times 0.5 to 1.5
-    look: Span = (1_000_000, 30_000_000)  # between looks for a fresher one: doubled after each round of all
+    rest: Span = (500_000, 8_000_000)  # where all failed: doubled from one to the other, times 0.5 to 1.5
+    look: Span = (500_000, 30_000_000)  # between looks for a fresher one: doubled after each round of all
 
 
 class Choice:
