--- a/lichencleat/lab/tiny_distribution.py
+++ b/lichencleat/lab/tiny_distribution.py
@@ -133,6 +133,7 @@
         self.links: dict[tuple[str, str], Link] = {}
         self.watch = DistributionWatch()
         self.wrong: str | None = None
+        self.mute: frozenset[Any] = frozenset()  # links, or processes that are called: nothing arrives
         self.begins(SOURCE, Tiny(), ())
         for name in RELAYS:
             self.begins(name, kinds.table(), ((SOURCE,),))
@@ -196,8 +197,12 @@
     def settle(self) -> None:
         """Messages of those that are not slow arrive at once."""
         while self.wrong is None:
-            slow = self.limits.slow
-            ready = (key for key, link in self.links.items() if link.message and key[0] not in slow)
+            slow, mute = self.limits.slow, self.mute
+            ready = (
+                key
+                for key, link in self.links.items()
+                if link.message and key[0] not in slow and key not in mute and key[1] not in mute
+            )
             key = next(ready, None)
             if key is None:
                 return
@@ -327,6 +332,23 @@
             self.judge()
         raise RuntimeError(f"timers without end at {self.now}")
 
+    def runs(self, span: int) -> None:
+        """As the world goes on by itself: what is not mute arrives at once, timers run."""
+        until = self.now + span
+        self.settle()
+        while self.wrong is None:
+            moment, name = min((moment, name) for name in self.processes for moment in self.moments(name))
+            if moment > until:
+                break
+            self.now = max(self.now, moment)
+            follower = self.processes[name].follower
+            if follower is not None:
+                follower.wakes(self.now)
+            self.stir(name)
+            self.settle()
+            self.judge()
+        self.now = until
+
     def moments(self, name: str) -> Iterable[int]:
         process = self.processes[name]
         if process.follower is not None:
--- /dev/null
+++ b/tests/distribution/test_in_time.py
@@ -0,0 +1,111 @@
+"""A node has a change within 5 s through the loss of a relay, with the real spans and drawn moments.
+
+Messages arrive at once here; what they take in a fleet is the simulation's to say.
+"""
+
+import random
+
+import pytest
+
+from lichencleat.distribution.choice import Times
+from lichencleat.lab import tiny_distribution
+from lichencleat.lab.tiny_distribution import NODE, RELAYS, SOURCE, Kinds, Limits, World
+
+SECOND = 1_000_000
+SEEDS = range(40)
+IN_FORCE = 5 * SECOND
+STEP = 10_000  # µs between looks at the node
+
+
+@pytest.fixture
+def worlds(monkeypatch):
+    """Makes a world in which version 1 is everywhere, and has been for a drawn time."""
+
+    def made(seed):
+        rng = random.Random(seed)
+        monkeypatch.setattr(tiny_distribution, "LOW", rng)
+        monkeypatch.setattr(tiny_distribution, "TIMES", Times())
+        world = World(Kinds(), Limits(versions=2, slow=()))
+        world.publish()
+        world.runs(3 * SECOND + rng.randrange(2 * SECOND))
+        assert all(each.table.version == 1 for each in world.processes.values())
+        return world, rng
+
+    return made
+
+
+def until_in_force(world):
+    """µs from a change's publication until the node has it."""
+    world.publish()
+    published = world.now
+    while world.processes[NODE].table.version < 2 and world.now - published < 60 * SECOND:
+        world.runs(STEP)
+    assert world.wrong is None
+    return world.now - published
+
+
+def followed(world):
+    return world.processes[NODE].follower.relay
+
+
+def cut_off(world, relay):
+    """It answers those below, and hears nothing from above."""
+    world.mute = frozenset([(relay, SOURCE)])
+
+
+def stopped(world, relay):
+    """Its links stand, and nothing comes of them, either way."""
+    world.mute = frozenset([relay, (relay, SOURCE)])
+
+
+def cut_off_both(world, relay):
+    world.mute = frozenset((each, SOURCE) for each in RELAYS)
+
+
+def stopped_both(world, relay):
+    world.mute = frozenset([*RELAYS, *((each, SOURCE) for each in RELAYS)])
+
+
+def lost(world, relay):
+    """Its process ends: its links too, and none can be opened."""
+    stopped(world, relay)
+    for key in [key for key in world.links if key[1] == relay]:
+        world.loses(*key)
+
+
+def times(worlds, fault):
+    took = []
+    for seed in SEEDS:
+        world, rng = worlds(seed)
+        assert followed(world) in RELAYS
+        fault(world, followed(world))
+        world.runs(rng.randrange(1, 4 * SECOND))
+        took.append(until_in_force(world))
+    return sorted(took)
+
+
+@pytest.mark.parametrize("fault", [lost, stopped, cut_off, cut_off_both, stopped_both])
+def test_a_change_is_in_force_in_time_although_its_relay_is(worlds, fault):
+    took = times(worlds, fault)
+    assert took[-1] < IN_FORCE, took
+    assert fault is lost or took[-1] > SECOND  # the fault is one
+
+
+def test_a_place_without_any_relay_keeps_what_it_has_and_takes_the_rest_when_they_are_back(worlds):
+    for seed in SEEDS:
+        world, _ = worlds(seed)
+        stopped_both(world, followed(world))
+        world.mute |= {SOURCE}
+        world.runs(60 * SECOND)
+        node = world.processes[NODE]
+        assert node.table.version == 1 and node.follower.age(world.now) > 55 * SECOND
+        world.mute = frozenset()
+        assert until_in_force(world) < 13 * SECOND  # the longest rest
+
+
+def test_the_bound_is_one_that_can_be_missed(worlds, monkeypatch):
+    world, _ = worlds(1)
+    world.processes[NODE].follower.looks.heard = lambda now, age: None  # never looks for a fresher one
+    cut_off(world, followed(world))
+    world.runs(SECOND)
+    assert until_in_force(world) > IN_FORCE
