Distribution: a voter whose file says another use of the group is refused

A directory now keeps what its group is for, and a start with another word is refused; 'quorum add' compares what both decide on.

--- a/lichencleat/cli/quorum.py
+++ b/lichencleat/cli/quorum.py
@@ -178,6 +178,12 @@
     """Take in the member that runs at ADDRESS: it follows first, and votes once it has caught up."""
     quorum = chosen(file)
     new = talk(lambda reactor, client: client.call("status", None, PATIENCE), quorum, address)
+    there = talk(lambda reactor, client: client.call("status", None, PATIENCE), quorum)
+    if new.get("parts", there.get("parts")) != there.get("parts", new.get("parts")):  # older ones say none
+        raise output.WrongInput(
+            f"quorum: {address} decides on {', '.join(new['parts'])}, and the group on "
+            f"{', '.join(there['parts'])}; quorum.distribution is to be the same in the files of all"
+        )
     host, port = host_port(address)
     who = [new["seat"], new["member"], host, port, new["zone"]]
 
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -20,7 +20,7 @@
 from lichencleat.quorum.links import Called, Door, Out
 from lichencleat.quorum.member import Role
 from lichencleat.quorum.saves import Saves
-from lichencleat.quorum.seats import Life, Seats, Welcome
+from lichencleat.quorum.seats import IDENTITY, Identity, Life, Seats, Welcome
 from lichencleat.quorum.serves import Guarded, Log, Serves
 from lichencleat.quorum.sessions import Verdict
 from lichencleat.quorum.state import Part, State, command
@@ -46,37 +46,16 @@
 SNAPSHOT_BYTES = 32 << 20  # of their data, after which one is due earlier: two lots of them are in memory
 TEND = 0.05  # s between looks at what a leader has to propose of its own
 LOOK = 0.02  # s between looks whether a start has been vouched for
-IDENTITY, LIFE = b"i", b"l"  # keys in the store; a life's goes on with the seat's eight bytes
+LIFE = b"l"  # a key in the store; it goes on with the seat's eight bytes
 SECOND = 1_000_000
 
 decode_life = msgspec.msgpack.Decoder(Life).decode
 
 
-class Identity(msgspec.Struct, array_like=True):
-    group: bytes  # the group's mark, empty before the member knows it
-    name: str  # the group's name
-    member: str
-    seat: int
-    start: int
-
-
-decode_identity = msgspec.msgpack.Decoder(Identity).decode
-
-
 def life_key(seat: int) -> bytes:
     return LIFE + seat.to_bytes(8, "big")
 
 
-def wake_up(get: Callable[[bytes], bytes | None], rng: random.Random, name: str, member: str) -> Identity:
-    """Who this directory says it is; an empty one draws a seat. The start counts itself."""
-    data = get(IDENTITY)
-    known = (
-        decode_identity(data) if data is not None else Identity(b"", name, member, rng.getrandbits(63) | 1, 0)
-    )
-    known.start += 1
-    return known
-
-
 class Process:
     """Owns the store, the links and the timers; given back in `end` alone."""
 
@@ -444,6 +423,7 @@
             "group": self.seats.group.hex(),
             "start": self.identity.start,
             "zone": self.zone,
+            "parts": sorted(self.state.parts),
             "role": voter.role.name.lower() if self.takes_part else "waits",
             "term": voter.term,
             "leader": voter.leader,
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -19,7 +19,8 @@
 from lichencleat.quorum.facts import Facts
 from lichencleat.quorum.file import QuorumChoice, host_port
 from lichencleat.quorum.journal import TOP, Journal
-from lichencleat.quorum.process import IDENTITY, Identity, Process, wake_up
+from lichencleat.quorum.process import Process
+from lichencleat.quorum.seats import IDENTITY, Identity, wake_up
 from lichencleat.quorum.serves import Serves
 from lichencleat.quorum.state import Part, State, founded
 from lichencleat.quorum.terms import Group, Member
@@ -66,7 +67,7 @@
                 f"{chosen.directory}: belongs to a member already; name an empty one, or add a voter with "
                 "'lichencleat quorum add'"
             )
-        identity = wake_up(lambda key: None, rng, chosen.group, chosen.name)
+        identity = wake_up(lambda key: None, rng, chosen.group, chosen.name, chosen.distribution)
         identity.group, identity.start = rng.randbytes(8), 0
         host, port = host_port(chosen.address or chosen.listen)
         group = Group((Member(identity.seat, chosen.name, host, port, True, chosen.zone),))
@@ -147,7 +148,15 @@
             self.stop(WRONG, str(wrong))
             return
         try:
-            identity = wake_up(store.engine.get, self.rng, chosen.group, chosen.name)
+            get = store.engine.get
+            identity = wake_up(get, self.rng, chosen.group, chosen.name, chosen.distribution)
+            if identity.distribution != chosen.distribution:
+                yield store.close()
+                was = "configuration" if identity.distribution else "other things than configuration"
+                self.stop(
+                    WRONG, f"{chosen.directory}: of a group for {was}; set quorum.distribution as it was"
+                )
+                return
             yield store.put(IDENTITY, msgspec.msgpack.encode(identity))
             listen = host_port(chosen.listen)
             serves: Serves | None = None
--- a/lichencleat/quorum/seats.py
+++ b/lichencleat/quorum/seats.py
@@ -10,10 +10,13 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Callable
 from enum import IntEnum
 
 import msgspec
 
+IDENTITY = b"i"  # key in the store
 WAIT = 3_000_000  # µs that a start waits for the others' word on its life; then it goes on without
 
 
@@ -68,3 +71,32 @@
     def may_take_part(self, others: frozenset[int], waited: int) -> bool:
         """After a start: have all others vouched for this life, or was there long enough to?"""
         return others <= self.vouched or waited >= WAIT
+
+
+class Identity(msgspec.Struct, array_like=True):
+    group: bytes  # the group's mark, empty before the member knows it
+    name: str  # the group's name
+    member: str
+    seat: int
+    start: int
+    distribution: bool = False  # of a group for configuration: what it has applied is of no use in another
+
+
+decode_identity = msgspec.msgpack.Decoder(Identity).decode
+
+
+def wake_up(
+    get: Callable[[bytes], bytes | None],
+    rng: random.Random,
+    name: str,
+    member: str,
+    distribution: bool = False,
+) -> Identity:
+    """Who this directory says it is; an empty one draws a seat. The start counts itself."""
+    data = get(IDENTITY)
+    if data is not None:
+        known = decode_identity(data)
+    else:
+        known = Identity(b"", name, member, rng.getrandbits(63) | 1, 0, distribution)
+    known.start += 1
+    return known
--- a/tests/fleet/test_publishing.py
+++ b/tests/fleet/test_publishing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lichencleat.lab.rig.rig import Rig
+from lichencleat.lab.rig.rig import Rig, Voter
 
 
 @pytest.fixture
@@ -81,3 +81,18 @@
     assert rig.ask(client.propose, "owners", ["define", "job", ""], 10.0) is None
     rig.voters["v1"].signal(15)
     assert rig.voters["v1"].ended() == 0
+
+
+def test_a_voter_whose_file_says_something_else_is_not_taken_in_and_does_not_start(rig):
+    other = Voter(rig, "v4", "real")
+    rig.voters["v4"] = other  # its file does not say that the group is for configuration
+    other.start()
+    rig.until(other.status, "the fourth to answer")
+    code, said = rig.command("quorum", "add", str(rig.voters["v1"].file), other.address)
+    assert code == 2 and "quorum.distribution is to be the same" in said
+    other.kill()
+    changed = rig.voters["v2"]
+    changed.kill()
+    changed.chosen["distribution"] = False
+    changed.start()
+    assert changed.ended() == 2 and "set quorum.distribution as it was" in changed.log.read_text()
--- a/tests/quorum/test_quorum_process.py
+++ b/tests/quorum/test_quorum_process.py
@@ -14,8 +14,9 @@
 from lichencleat.quorum.client import Client, GroupError
 from lichencleat.quorum.journal import Journal
 from lichencleat.quorum.member import Role
-from lichencleat.quorum.process import Identity, Process
+from lichencleat.quorum.process import Process
 from lichencleat.quorum.program import distribution_parts
+from lichencleat.quorum.seats import Identity, wake_up
 from lichencleat.quorum.serves import Guarded
 from lichencleat.quorum.state import command, founded
 from lichencleat.quorum.terms import Act, Decision, Group, Kind, Member, Message, Reason
@@ -244,3 +245,14 @@
     for kind, term, commit in ((Kind.APPEND, 3, 7), (Kind.APPEND, 2, 9), (Kind.VOTE, 3, 11)):
         process.hears(Message(kind, term, 2, 1, commit=commit))
     assert told == [7]
+
+
+def test_a_directory_keeps_what_its_group_is_for_and_one_of_before_is_for_other_things():
+    for distribution in (False, True):
+        made = wake_up(lambda key: None, random.Random(1), "g", "v1", distribution)
+        again = wake_up(
+            lambda key, made=made: msgspec.msgpack.encode(made), random.Random(1), "g", "v1", True
+        )
+        assert (again.distribution, again.start) == (distribution, 2)
+    old = msgspec.msgpack.encode((b"mark", "g", "v1", 5, 7))
+    assert wake_up(lambda key: old, random.Random(1), "g", "v1", True) == Identity(b"mark", "g", "v1", 5, 8)
