--- a/lichencleat/lab/sim/distribution_events.py
+++ b/lichencleat/lab/sim/distribution_events.py
@@ -120,6 +120,14 @@
         self.at(begin, cuts)
         self.at(end, heals)
 
+    def sever(self, site: Site, begin: float, end: float) -> None:
+        """A relay reaches none of those above it; its subscribers reach it."""
+        world = self.fleet.world
+        above = [name for tier in self.fleet.tiers[site.name] for name in tier]
+        pairs = {(site.name, name) for name in above} | {(name, site.name) for name in above}
+        self.at(begin, world.severed.update, pairs)
+        self.at(end, world.severed.difference_update, pairs)
+
     def old(self, site: Site, begin: float, end: float) -> None:
         """Put back with the version that all began with; until `end` it reaches nobody above."""
         fleet = self.fleet
@@ -243,6 +251,11 @@
     scene.stop([scene.relay(tier)], BEGIN, BEGIN + 25)
 
 
+def severed(scene: Scene, tier: str) -> None:
+    scene.sever(scene.relay(tier), BEGIN, BEGIN + 30)
+    scene.at(BEGIN + 0.1, scene.publish, 1)
+
+
 def old_copy(scene: Scene, tier: str) -> None:
     """While those that left it are to come back, the other ones of its place go."""
     old = scene.relay(tier)
@@ -280,6 +293,7 @@
         lambda: scene.slow(scene.relay(rng.choice(tiers)), *span()),
         lambda: scene.stop([scene.relay(rng.choice(tiers))], *span()),
         lambda: scene.old(scene.relay(rng.choice(tiers)), *span()),
+        lambda: scene.sever(scene.relay(rng.choice(tiers)), *span()),
         lambda: scene.off(some_nodes(), *span(), disk=rng.random() < 0.7),
         lambda: scene.stop(some_nodes(), *span()),
         lambda: scene.cut(scene.region(), *span()),
@@ -305,11 +319,13 @@
     "zone relays off": lost_both,
     "zone relay slow": lambda scene: slow(scene, "zone relay"),
     "zone relay stopped": lambda scene: stopped(scene, "zone relay"),
+    "zone relay cut": lambda scene: severed(scene, "zone relay"),
     "zone relay old": lambda scene: old_copy(scene, "zone relay"),
     "region relay killed": lambda scene: lost(scene, "region relay", False),
     "region relay off": lambda scene: lost(scene, "region relay", True),
     "region relay slow": lambda scene: slow(scene, "region relay"),
     "region relay stopped": lambda scene: stopped(scene, "region relay"),
+    "region relay cut": lambda scene: severed(scene, "region relay"),
     "region relay old": lambda scene: old_copy(scene, "region relay"),
     "leader killed": leader_killed,
     "leader stopped": leader_stopped,
--- a/lichencleat/lab/sim/distribution_world.py
+++ b/lichencleat/lab/sim/distribution_world.py
@@ -134,6 +134,7 @@
                 base = rng.randint(*BETWEEN_REGIONS)
                 self.trips[one, other] = self.trips[other, one] = (base, base + JITTER)
         self.cut: set[int] = set()  # regions that others do not reach
+        self.severed: set[tuple[str, str]] = set()  # sites that do not reach each other, in both orders
         self.number = self.events = 0
 
     def add(self, name: str, region: int, zone: str, tier: str) -> Site:
@@ -146,6 +147,8 @@
         return WITHIN_REGION if one.region == other.region else self.trips[one.region, other.region]
 
     def blocked(self, one: Site, other: Site) -> bool:
+        if self.severed and (one.name, other.name) in self.severed:
+            return True
         return one.region != other.region and (one.region in self.cut or other.region in self.cut)
 
     # -- processes -------------------------------------------------------------------------------------
@@ -337,7 +340,7 @@
         now = self.clockwork.now
         sender.meter.sends(now, size)
         to.meter.sends(now, size)
-        if link.dead or (self.cut and self.blocked(sender, to)):
+        if link.dead or ((self.cut or self.severed) and self.blocked(sender, to)):
             link.dead = True
             return
         rng = self.rng
@@ -377,7 +380,7 @@
             return
         if to.paused:
             to.held.append((self.arrives, (link, to_caller, to, life, call, args)))
-        elif self.cut and self.blocked(link.caller, link.called):
+        elif (self.cut or self.severed) and self.blocked(link.caller, link.called):
             link.dead = True
         else:
             call(link, *args)
