--- a/lichencleat/distribution/kept.py
+++ b/lichencleat/distribution/kept.py
@@ -94,7 +94,7 @@
 
 def plan(view: View, digests: Sequence[int], slots: bytes) -> Plan:
     """In a thread: 4,096 pages are compared with what is on the disk."""
-    numbers = list(differing(view.page_digests, digests))
+    numbers = differing(view.page_digests, digests)
     if sum(len(view.pages[number]) for number in numbers) <= ONE_BYTES:
         return Plan(pieces(view, numbers, PIECE_BYTES), slots, False)
     turned = bytearray(slots)
--- a/lichencleat/distribution/rebuild.py
+++ b/lichencleat/distribution/rebuild.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Sequence
 from itertools import compress
 from operator import ne
 from typing import TYPE_CHECKING
@@ -32,9 +33,9 @@
     return digests
 
 
-def differing(digests: list[int], others: list[int]) -> dict[int, int]:
-    """Number -> digest, of the pages whose digest is another."""
-    return dict(compress(enumerate(digests), map(ne, digests, others)))
+def differing(digests: Sequence[int], others: Sequence[int]) -> list[int]:
+    """Numbers of the pages whose digest is another; some 150 µs."""
+    return list(compress(range(PAGES), map(ne, digests, others)))
 
 
 class Rebuild:
@@ -95,10 +96,10 @@
 
     def set_right(self, past: list[int]) -> None:
         """Pages that the snapshot before this one had otherwise."""
-        for number, digest in differing(self.digests, past).items():
+        for number in differing(self.digests, past):
             if self.new[number]:
                 self.back(number)
-            self.wanted[number] = digest != self.table.page_digests[number]
+            self.wanted[number] = self.digests[number] != self.table.page_digests[number]
 
     def back(self, number: int) -> None:
         """To the table's own page."""
--- a/tests/distribution/test_kept.py
+++ b/tests/distribution/test_kept.py
@@ -24,6 +24,14 @@
 BOUNDS = Bounds(segment_bytes=64 << 10, disk_bytes=8 << 20, reserve=False)
 
 
+@pytest.fixture(autouse=True)
+def large_slices(request, monkeypatch):
+    """2,048 turns a start are measured elsewhere."""
+    if "slices" not in request.function.__name__:
+        monkeypatch.setattr(module, "LOOK_PAGES", 512)
+        monkeypatch.setattr(module, "READ_PAGES", 512)
+
+
 class Hands:
     """The store's threads: works at once, or call by call where the test says so."""
 
@@ -95,6 +103,22 @@
     )
 
 
+def test_a_start_looks_at_pages_in_slices(monkeypatch):
+    disk = FaultyDisk()
+    table, _ = written(disk)
+    life, looked = Life(FaultyDisk(disk.image())), [0]  # pages between two turns
+    unpack, turn = module.unpack, Kept.turn
+
+    def counted(number, data):
+        looked[-1] += 1
+        return unpack(number, data)
+
+    monkeypatch.setattr(module, "unpack", counted)
+    monkeypatch.setattr(Kept, "turn", lambda kept: looked.append(0) or turn(kept))
+    assert same(life.load()[0], table)
+    assert sum(looked) == PAGES and max(looked) == module.LOOK_PAGES == 2
+
+
 def test_what_was_written_is_there_at_the_next_start():
     disk, table = FaultyDisk(), Table()
     life = Life(disk, "fleet")
