--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -36,10 +36,11 @@
     "collector": Role("in process, IPFIX messages as the exporters make them", returns.collector),
     "senders": Role("in process, one message of each sender in turn", returns.senders),
     "table": Role("fresh processes: benchmarks.distribution_table --json, taken over", taken.table),
+    "source": Role("trials with three real voters on loopback, disk real; taken over", taken.source),
     "fleet": Role("simulated: lichencleat.lab.sim.distribution --json, taken over", taken.fleet),
     "hollow": Role("hollow nodes on loopback: benchmarks.distribution --json, taken over", taken.hollow),
 }
-TAKEN = ("table", "fleet", "hollow")
+TAKEN = ("table", "source", "fleet", "hollow")
 
 
 def commit() -> str:
--- a/benchmarks/capacity/taken.py
+++ b/benchmarks/capacity/taken.py
@@ -16,6 +16,7 @@
 from benchmarks.capacity import Effort, Lines
 from lichencleat.capacity.slopes import Line
 
+SOURCE_RUN = "real_run"
 Taken = Callable[[list[dict[str, Any]]], list[Line]]
 
 
@@ -27,6 +28,8 @@
         return "hollow"
     if isinstance(found.get("figures"), list) and "machine" in found:
         return "table"
+    if any(name.startswith(SOURCE_RUN) for name in found):
+        return "source"
     return ""
 
 
@@ -52,6 +55,9 @@
 # -- the fleet in simulated time ---------------------------------------------------------------------------
 
 
+PEAKS = ("calm", "replaced", "power cold")  # events whose bytes are told
+
+
 def slug(event: str) -> str:
     return event.replace(" ", "_")
 
@@ -94,7 +100,8 @@
 
 
 def enough_sizes(lines: Lines) -> list[Line]:
-    for name in [name for name in lines.kinds if len(lines.values[name]) < 2]:
+    """Without the lines that have one size alone, or none."""
+    for name in [name for name in lines.kinds if len(lines.values.get(name, ())) < 2]:
         del lines.kinds[name]
     return lines.made()
 
@@ -127,8 +134,6 @@
             lines.add("subscriber.bytes_s", at, part["node_bytes_in_s"] + part["node_bytes_out_s"])
         lines.add("hollow.in_force_s", each["nodes"], made["in_force_ms"]["all"] / 1e3)
         lines.add("hollow.burst_s", each["nodes"], each["burst"]["last_in_force_ms"]["all"] / 1e3)
-    for name in [name for name in lines.kinds if name not in lines.values]:
-        del lines.kinds[name]
     return enough_sizes(lines)
 
 
@@ -159,3 +164,27 @@
                 lines.kind(name, "records", unit, note)
                 lines.add(name, each["size"], each[figure] / of)
     return enough_sizes(lines)
+
+
+# -- the voters of configuration ---------------------------------------------------------------------------
+
+
+def source(effort: Effort) -> list[Line]:
+    """Three real voters with nothing and with all records; trials, not a benchmark that stands."""
+    lines = Lines("source")
+    lines.kind(
+        "source.batch_p99_ms", "records", "ms", "a batch of one change confirmed, one client, one at a time"
+    )
+    lines.kind("source.memory_mb", "records", "MB", "a voter")
+    for found in of_files(effort, "source"):
+        for name, ran in found.items():
+            if not name.startswith(SOURCE_RUN):
+                continue
+            full = json.loads(ran["load"]["said"])["records"]
+            for size, batches, held in (
+                (0, "batches_of_1", "empty"),
+                (full, "batches_of_1_loaded", "after_small"),
+            ):
+                lines.add("source.batch_p99_ms", size, ran[batches]["ms_p50_p99_max"][1])
+                lines.add("source.memory_mb", size, max(each["rss_mb"] for each in ran[held].values()))
+    return enough_sizes(lines)
--- a/lichencleat/capacity/events.py
+++ b/lichencleat/capacity/events.py
@@ -12,9 +12,9 @@
 from lichencleat.revive.terms import NODES_MOST
 
 CUT = 300.0  # s that a region is cut off
-LAST = "until the last one has what holds"
+LAST = "until the last one that starts or returns has what holds"
 MOST = "a change in force at 99 in 100 nodes"
-ALL = "a change in force at all, those that start included"
+ALL = "a change in force at all that were there"
 SERVED = "until nine tenths are served, were all known"
 FETCHED = "of a relay's time for its snapshots, by its bound"
 
@@ -56,6 +56,9 @@
                 Figure("one each", each_s, "s", "target"),
                 Figure("one each, of a zone's relay", each_s * relays, "s", "target, tree"),
                 simulated("replaced.back_s", f"{LAST}, without a disk"),
+                Figure(
+                    "bytes of its busiest second", peak(slopes, target), "MB", "replaced.node_peak_mb (fleet)"
+                ),
                 simulated("replaced.in_force_p99_s", MOST),
                 simulated("replaced.in_force_all_s", ALL),
             ],
@@ -102,6 +105,11 @@
     ]
 
 
+def peak(slopes: Slopes, target: Target) -> float | None:
+    line = slopes.line("replaced.node_peak_mb")
+    return None if line is None else line.at(target.nodes)
+
+
 def at_nodes(slopes: Slopes, target: Target) -> float | None:
     line = slopes.line("fleet.to_90_s")
     return None if line is None else line.at(target.nodes)
--- a/lichencleat/capacity/glance.py
+++ b/lichencleat/capacity/glance.py
@@ -74,7 +74,7 @@
         Glance("relay of a region", f"{relays:.0f} subscribers, {records:,} records", 2 * relays * asked,
                times(each, relays), at("relay.core", relays), at("relay.memory_mb", relays)),
         Glance("voter of configuration", f"{top:.0f} subscribers, {records:,} records", 2 * top * asked,
-               times(each, top), at("voter.writes_core", changes), None),
+               times(each, top), at("voter.writes_core", changes), at("source.memory_mb", records)),
         Glance("publisher", "nothing of its own", changes, "-", "-", "-"),
         Glance("voter of leases", f"{machines} candidates", leases,
                times(at("seat.renew_bytes", target.dependency_seats), leases), at("voter.writes_core",
--- a/lichencleat/capacity/needs.py
+++ b/lichencleat/capacity/needs.py
@@ -37,6 +37,7 @@
 ADDED = Budget("added at p99", lambda t: t.added_p99_ms)
 ONE_CORE = Budget("one core: a process of its own", lambda t: 1.0)
 IN_FORCE = Budget("in force everywhere", lambda t: t.in_force_s)
+IN_FORCE_MS = Budget("in force everywhere", lambda t: t.in_force_s * 1e3)
 TURN = Budget("a turn of the reactor", lambda t: t.turn_ms)
 TURN_US = Budget("a turn of the reactor", lambda t: t.turn_ms * 1e3)
 BACK = Budget("back after a power loss (supposed)", lambda t: t.back_in_s)
@@ -212,6 +213,9 @@
     Need("relay", "a zone's nodes on one relay: processor time", "relay.core", of.zone_nodes, "of a core",
          ONE_CORE, TREE),
     Need("relay", "a zone's nodes on one relay: memory", "relay.memory_mb", of.zone_nodes, "MB", None, TREE),
+    Need("voter", "with all records: memory", "source.memory_mb", of.records, "MB", None, TREE),
+    Need("publisher", "a batch of one confirmed, p99", "source.batch_p99_ms", of.records, "ms", IN_FORCE_MS,
+         TREE),
     Need("publisher", "in force at all nodes, in calm", "calm.in_force_all_s", of.nodes, "s", IN_FORCE, TREE),
     Need("publisher", "in force at 99 in 100, in calm", "calm.in_force_p99_s", of.nodes, "s", IN_FORCE, TREE),
     Need("publisher", "in force at all hollow nodes of one machine", "hollow.in_force_s", of.nodes, "s",
--- a/tests/capacity/test_taken.py
+++ b/tests/capacity/test_taken.py
@@ -91,6 +91,19 @@
     assert found["table.memory_mb"].at(20) == 20.0
 
 
+def test_voters_with_nothing_and_with_all(tmp_path):
+    ran = {
+        "empty": {"v1": {"rss_mb": 40}, "v2": {"rss_mb": 41}},
+        "after_small": {"v1": {"rss_mb": 280}, "v2": {"rss_mb": 290}},
+        "batches_of_1": {"ms_p50_p99_max": [2.0, 12.0, 50.0]},
+        "batches_of_1_loaded": {"ms_p50_p99_max": [3.0, 15.0, 60.0]},
+        "load": {"said": json.dumps({"records": 560_000})},
+    }
+    found = by_name(taken.source(files(tmp_path, {"how": "trials", "real_run_1": ran})))
+    assert found["source.batch_p99_ms"].at(560_000) == 15.0
+    assert [each.values for each in found["source.memory_mb"].points] == [[41.0], [290.0]]
+
+
 def test_a_file_of_no_benchmark_is_refused(tmp_path):
     with pytest.raises(click.ClickException, match="of no benchmark"):
         taken.fleet(files(tmp_path, {"sizes": 3}))
