--- a/tests/distribution/test_kept.py
+++ b/tests/distribution/test_kept.py
@@ -15,7 +15,7 @@
 from lichencleat.distribution.terms import PAGES, Batch, Change
 from lichencleat.store.batch import Batch as Stored
 from lichencleat.store.engine import Engine
-from lichencleat.store.errors import StoreError, UnfitError
+from lichencleat.store.errors import DamagedError, Finding, StoreError, UnfitError
 from lichencleat.store.faulty import FaultyDisk, PowerCutError, by_chance
 from lichencleat.store.room import Bounds
 from lichencleat.store.store import Store
@@ -316,6 +316,28 @@
     assert same(Life(FaultyDisk(after.disk.image())).load()[0], other)
 
 
+def test_a_page_that_the_disk_does_not_give_back_is_found_a_batch_only_left_out(monkeypatch):
+    """As where a bit flips behind what the store's checkpoint covers: reading tells."""
+    disk = FaultyDisk()
+    table, _ = written(disk)
+    number = next(at for at in range(PAGES) if table.pages[at])
+    for lost, left in [(module.batch_key(1), [3, 4, 5]), (page_key(number, 0), None)]:
+        life = Life(FaultyDisk(disk.image()))
+        get = life.store.engine.get
+
+        def broken(key, get=get, lost=lost):
+            if key == lost:
+                raise DamagedError([Finding("1.log", 7, "not whole")])
+            return get(key)
+
+        monkeypatch.setattr(life.store.engine, "get", broken)
+        loaded, _, recent = life.load()
+        if left is None:
+            assert same(loaded, Table()) and recent == [] and "1.log" in life.kept.trouble
+        else:
+            assert same(loaded, table) and [each.version for each in recent] == left
+
+
 def test_an_older_head_over_newer_pages_is_found():
     disk = FaultyDisk()
     table, life = written(disk)
@@ -410,3 +432,30 @@
     loaded, _, recent = reactor.until(again.load())
     assert same(loaded, table) and recent[-1].version == 8
     reactor.until(again.close())
+
+
+def test_a_flipped_bit_anywhere_gives_a_whole_version_or_none():
+    """Most are found by the store at its opening; none may give a table that never was."""
+    disk, table, states = FaultyDisk(), Table(), {Table().digest}
+    life = Life(disk)
+    life.load()
+    for version in range(1, 8):
+        life.kept.wrote(table, (step(table, version, 20),))
+        states.add(table.digest)
+    image, rng = disk.image(), random.Random(5)
+    refused = older = 0
+    for _ in range(80):
+        name = rng.choice([each for each in image if image[each]])
+        data = bytearray(image[name])
+        data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+        try:
+            after = Life(FaultyDisk({**image, name: bytes(data)}))
+            loaded, _, recent = after.load()
+        except StoreError:
+            refused += 1
+            continue
+        assert loaded.digest in states
+        assert Table.loaded(loaded.version, loaded.pages).digest == loaded.digest
+        assert not recent or recent[-1].digest == loaded.digest
+        older += loaded.digest != table.digest
+    assert refused > 20 and older > 0
