--- a/benchmarks/distribution_table.py
+++ b/benchmarks/distribution_table.py
@@ -234,8 +234,8 @@
     return {**found, **means, **slices.told("batch")}
 
 
-def keep(count: int, directory: Path, changes: int) -> dict[str, float]:
-    """On a disk: written, loaded with the reactor's turns watched, then change by change."""
+def keep(count: int, directory: Path, changes: int, writes: bool) -> dict[str, float]:
+    """On a disk, the reactor's turns watched: all written; or loaded, then change by change."""
     from twisted.internet.defer import Deferred, inlineCallbacks
     from twisted.internet.task import LoopingCall
 
@@ -249,6 +249,7 @@
 
     def look() -> None:
         now = time.perf_counter()
+        last[0] = last[0] or now - LOOK  # what was done just before was no turn of the table's
         turns.append(max(0.0, now - last[0] - LOOK))
         last[0] = now
 
@@ -257,6 +258,7 @@
         found[f"{name} reactor longest turn ms"] = max(turns) / MS
         found[f"{name} reactor p99 turn ms"] = sorted(turns)[int(len(turns) * 0.99)] / MS
         turns.clear()
+        last[0] = 0.0
 
     def opened() -> Any:
         return open_kept(reactor, str(directory / "kept"), unix_time, random.Random(1))
@@ -265,13 +267,11 @@
         return kept.store.stat()["bytes written"]
 
     @inlineCallbacks
-    def run() -> Any:
+    def write() -> Any:
         copy = TableCopy()
         fetch(copy, decode_digests((directory / "head").read_bytes()), directory, Slices())
         kept = yield opened()
         yield kept.load()
-        last[0] = time.perf_counter()
-        looking = LoopingCall(look)
         looking.start(LOOK)
         began = time.perf_counter()
         kept.replaced(copy.table)
@@ -280,20 +280,22 @@
         found["keep s"], found["keep bytes"] = time.perf_counter() - began, written(kept)
         watched("keep")
         yield kept.close()
-        digest = copy.digest
-        del copy
+
+    @inlineCallbacks
+    def load() -> Any:
+        head = decode_digests((directory / "head").read_bytes())
         gc.collect()
-        last[0] = time.perf_counter()
-        turns.clear()
+        looking.start(LOOK)
         began, before = time.perf_counter(), memory("VmRSS")
         kept = yield opened()
         found["open s"] = time.perf_counter() - began
         watched("open")
         table, _, _ = yield kept.load()
         found["load s"] = time.perf_counter() - began
+        gc.collect()
         found["load memory bytes"] = memory("VmRSS") - before
         watched("load")
-        assert table.digest == digest and not kept.trouble
+        assert table.digest == head.digest and not kept.trouble
         rng, began, before = random.Random(2), time.perf_counter(), written(kept)
         own = time.process_time()
         for _ in range(changes):
@@ -305,7 +307,6 @@
         found["change bytes written"] = (written(kept) - before) / changes
         found["change bytes cleaned"] = kept.store.stat()["bytes copied"] / changes
         watched("change")
-        looking.stop()
         yield kept.close()
 
     def until(kept: Any) -> Any:
@@ -318,7 +319,8 @@
             result.printTraceback()
         reactor.stop()
 
-    reactor.callWhenRunning(lambda: run().addBoth(end))
+    looking = LoopingCall(look)
+    reactor.callWhenRunning(lambda: (write if writes else load)().addBoth(end))
     reactor.run()
     return found
 
@@ -372,7 +374,7 @@
         (
             "disk",
             f"all written {figure('keep s', 1, '.2f')} s, loaded {figure('load s', 1, '.2f')} s "
-            f"(opening {figure('open s', 1, '.2f')})",
+            f"(opening {figure('open s', 1, '.2f')}), which adds {figure('load memory bytes', MB)} MB",
         ),
         (
             "reactor late by",
@@ -409,7 +411,7 @@
 @click.option("--sizes", default=",".join(map(str, SIZES)), show_default=True, help="records")
 @click.option("--changes", default=1_000, show_default=True, help="written to the disk one by one")
 @click.option("--json", "to", type=click.Path(dir_okay=False), help="also writes the figures there")
-@click.option("--part", type=click.Choice(["make", "use", "keep"]), hidden=True)
+@click.option("--part", type=click.Choice(["make", "use", "keep", "load"]), hidden=True)
 @click.option("--size", default=0, hidden=True)
 @click.option("--directory", default=".", hidden=True)
 def main(sizes: str, changes: int, to: str | None, part: str | None, size: int, directory: str) -> None:
@@ -417,7 +419,8 @@
         parts: dict[str, Callable[[], dict[str, float]]] = {
             "make": lambda: make(size, Path(directory)),
             "use": lambda: use(size, Path(directory)),
-            "keep": lambda: keep(size, Path(directory), changes),
+            "keep": lambda: keep(size, Path(directory), changes, True),
+            "load": lambda: keep(size, Path(directory), changes, False),
         }
         click.echo(json.dumps(parts[part]()))
         return
@@ -425,7 +428,7 @@
     for count in map(int, sizes.split(",")):
         with tempfile.TemporaryDirectory() as made:
             found = {}
-            for each in ("make", "use", "keep"):
+            for each in ("make", "use", "keep", "load"):
                 found |= measured(each, count, made, changes)
         told(count, found)
         figures.append({"size": count, **found})
--- a/lichencleat/distribution/kept.py
+++ b/lichencleat/distribution/kept.py
@@ -43,9 +43,9 @@
 FORMAT = 1
 RECENT_MOST = 1_024  # batches kept beside the pages: half an hour of changes, for those a little behind
 RECENT_BYTES = 1 << 20  # of these, and of those on their way there
-PIECE_BYTES = 512 << 10  # of pages packed in one call of a thread, and of a snapshot in one commit
-PIECE_PAGES = 32  # of these: the thread that writes holds the interpreter for some 30 µs each
-ONE_BYTES = 1 << 20  # of pages that are written in one commit; more goes beside the old ones
+PIECE_BYTES = 128 << 10  # of pages packed in one call of a thread, and of a snapshot in one commit
+PIECE_PAGES = 8  # of these: the thread that writes holds the interpreter for some 80 µs each
+ONE_BYTES = 256 << 10  # of pages that are written in one commit; more goes beside the old ones
 READ_PAGES = 8  # read in one call of a thread: some 300 µs
 LOOK_PAGES = 2  # looked through in one slice: some 300 µs
 AGAIN = 10.0  # s until it is tried again after a failure
