--- a/tests/fleet/distribution.py
+++ b/tests/fleet/distribution.py
@@ -53,8 +53,10 @@
 
 
 class Schedule:
-    def __init__(self, rig: DistributionRig, other: RelayProcess, rng: random.Random, ran: Ran) -> None:
-        self.rig, self.other, self.rng, self.ran = rig, other, rng, ran
+    def __init__(
+        self, rig: DistributionRig, other: RelayProcess, rng: random.Random, ran: Ran, kinds: list[str]
+    ) -> None:
+        self.rig, self.other, self.rng, self.ran, self.kinds = rig, other, rng, ran, kinds
         self.undo: list[tuple[float, Any]] = []
         self.copies: dict[str, Path] = {}
 
@@ -88,7 +90,7 @@
 
     def begin(self) -> None:
         rig, rng = self.rig, self.rng
-        kind = rng.choice(KINDS)
+        kind = rng.choice(self.kinds)
         group: list[Child] = list((rig.feeding, rig.watchers)[self.coin()].values())
         each = rng.choice(group)
         voters = rng.sample(list(rig.voters.values()), 2)
@@ -189,7 +191,7 @@
         self.ran.well = time.monotonic() - begun
 
 
-def run(seed: int, nodes: int) -> Ran:
+def run(seed: int, nodes: int, kinds: list[str], most: int) -> Ran:
     ran = Ran(seed)
     rng = random.Random(f"distribution {seed}")
     with tempfile.TemporaryDirectory() as folder:
@@ -197,8 +199,8 @@
         try:
             rig = DistributionRig(Path(folder), nodes=nodes, seed=seed)
             rig.start()
-            schedule = Schedule(rig, rig.form_other_group(), rng, ran)
-            for _ in range(rng.randint(*FAULTS)):
+            schedule = Schedule(rig, rig.form_other_group(), rng, ran, kinds)
+            for _ in range(rng.randint(FAULTS[0], most)):
                 schedule.begin()
                 schedule.passes(rng.uniform(0, BETWEEN))
             schedule.heals()
@@ -222,18 +224,22 @@
 @click.command()
 @click.option("--seeds", default="1-20", show_default=True, help="FIRST-LAST.")
 @click.option("--nodes", default=4, show_default=True, help="Of each of the two zones.")
+@click.option("--only", type=click.Choice(sorted(set(KINDS))), multiple=True, help="Faults of this kind.")
+@click.option("--most", default=FAULTS[1], show_default=True, help="Faults of a schedule.")
 @click.option("--side-by-side", default=1, show_default=True, help="Rigs at once.")
-def main(seeds: str, nodes: int, side_by_side: int) -> None:
+def main(seeds: str, nodes: int, only: tuple[str, ...], most: int, side_by_side: int) -> None:
     """Plays drawn schedules, and tells what broke."""
     drawn = seeds_of(seeds)
+    kinds = list(only) or KINDS
     done: list[Ran] = []
     with ProcessPoolExecutor(side_by_side) as pool:
-        for ran in pool.map(run, drawn, [nodes] * len(drawn)):
+        told = ([each] * len(drawn) for each in (nodes, kinds, most))
+        for ran in pool.map(run, drawn, *told):
             done.append(ran)
             if ran.wrong is not None:
                 click.echo(f"seed {ran.seed}: {', '.join(ran.faults)}\n{ran.wrong}")
-    kinds = Counter(each.rpartition(" ")[0].partition(" (")[0] for ran in done for each in ran.faults)
-    click.echo(", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())))
+    words = (each.partition(" (")[0].rpartition(" ")[0] for ran in done for each in ran.faults)
+    click.echo(", ".join(f"{kind} {count}" for kind, count in sorted(Counter(words).items())))
     wrong = [each for each in done if each.wrong is not None]
     well = sorted(each.well for each in done if each.wrong is None)
     click.echo(
