--- a/lichencleat/capacity/bounds.py
+++ b/lichencleat/capacity/bounds.py
@@ -27,7 +27,7 @@
     answer: str = ""  # what carries it at the target instead, where it does not hold
 
 
-CANDIDATES = "candidates are the machines set aside"
+CANDIDATES = "a few nodes are candidates (`candidate: true`)"
 
 # fmt: off
 BOUNDS = (
--- a/lichencleat/capacity/needs.py
+++ b/lichencleat/capacity/needs.py
@@ -38,7 +38,7 @@
 ONE_CORE = Budget("one core: a process of its own", lambda t: 1.0)
 IN_FORCE = Budget("in force everywhere", lambda t: t.in_force_s)
 IN_FORCE_MS = Budget("in force everywhere", lambda t: t.in_force_s * 1e3)
-TURN = Budget("a turn of the reactor", lambda t: t.turn_ms)
+RENEWED = Budget("one of three renewals in a term", lambda t: shares.TERM / shares.RENEW / 1e3)
 TURN_US = Budget("a turn of the reactor", lambda t: t.turn_ms * 1e3)
 BACK = Budget("back after a power loss (supposed)", lambda t: t.back_in_s)
 FILE = Budget("the file's most characters", lambda t: SIZE_MOST)
@@ -142,6 +142,8 @@
          "owners"),
     Need("voter", "writes of one pool's renewals", "voter.writes_core", of.renewals, "of a core", ONE_CORE,
          "shares"),
+    Need("voter", "answers to one pool's renewals, p99", "voter.writes_p99_ms", of.renewals, "ms", RENEWED,
+         "shares"),
     Need("voter", "writes of nodes' reports, all open", "voter.writes_core", of.reports, "of a core",
          ONE_CORE,
          "the fleet's return"),
@@ -190,8 +192,8 @@
          TURN_US, TREE),
     Need("node", "taking over a snapshot: the longest slice", "table.rebuild_slice_us", of.records, "µs",
          TURN_US, TREE),
-    Need("node", "from the disk: the longest turn by the clock", "table.load_turn_ms", of.records, "ms",
-         TURN, TREE),
+    Need("node", "from the disk: the longest turn, by the clock", "table.load_turn_ms", of.records, "ms",
+         None, TREE),
     Need("node", "a look-up, p99", "table.find_us", of.records, "µs", None, TREE),
     Need("node", "following: processor time", "subscriber.core", of.changes, "of a core", NODE_CORE, TREE,
          control="core"),
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -86,6 +86,7 @@
 def test_another_fleet_can_be_planned(tmp_path, capsys):
     small = tmp_path / "small.yaml"
     text = TARGET.read_text().replace("nodes: 3300", "nodes: 100").replace("callers: 130000", "callers: 500")
+    text = text.replace("requests_per_s: 2200000", "requests_per_s: 66000")
     small.write_text(text.replace("dependency_seats: 3300", "dependency_seats: 100"))
     arguments = ["capacity", "plan", "--slopes", str(SLOPES), "--json"]
     assert run([*arguments, "--target", str(small)]) == 0
