--- a/lichencleat/lab/rig/distribution_parts.py
+++ b/lichencleat/lab/rig/distribution_parts.py
@@ -22,6 +22,7 @@
 from lichencleat.store.batch import Batch
 from lichencleat.store.disk import RealDisk
 from lichencleat.store.engine import Engine
+from lichencleat.store.errors import StoreError
 
 ROOT = Path(__file__).resolve().parents[3]
 
@@ -119,7 +120,10 @@
         """A part of its pages is as before they were written, the head is not; it must be down. How many."""
         if not self.kept_files():
             return 0
-        engine = Engine.open(RealDisk(str(self.directory)), unix_time, rng, STORE)
+        try:
+            engine = Engine.open(RealDisk(str(self.directory)), unix_time, rng, STORE)
+        except StoreError:  # it was spoilt before: it is not used as it is
+            return 0
         try:
             there = [key for key, _ in engine.scan(PAGE)]
             lost = rng.sample(there, len(there) // 2)
