--- a/lichencleat/capacity/needs.py
+++ b/lichencleat/capacity/needs.py
@@ -221,9 +221,5 @@
          TREE),
     Need("publisher", "in force at all nodes, in calm", "calm.in_force_all_s", of.nodes, "s", IN_FORCE, TREE),
     Need("publisher", "in force at 99 in 100, in calm", "calm.in_force_p99_s", of.nodes, "s", IN_FORCE, TREE),
-    Need("publisher", "in force at all hollow nodes of one machine", "hollow.in_force_s", of.nodes, "s",
-         None, TREE),
-    Need("publisher", "a burst in force at all hollow nodes of one machine", "hollow.burst_s", of.nodes,
-         "s", None, TREE),
 )
 # fmt: on
