Quorum, distribution: text that is no UTF-8 ends where it was read, also in the log

Cause: msgspec raises UnicodeDecodeError for such text, which is no MsgspecError, so nothing caught it. Worst: a command in the log with such text (quorum/state.py, give, and each part's apply) raised at every member that applied it, at each start again, so one proposal would have ended a group for good. Links, datagrams, questions, answers, a client's replies and files of the store, too. Ruled out: keys and values of the store, which are bytes. Change: lichencleat/decoding.py names both errors once; 22 modules catch them; a client drops a link whose reply can't be read. Not tested by themselves: the member's own questions (process.py), gossip's port, the store's recovery, the client.

--- a/lichencleat/capacity/slopes.py
+++ b/lichencleat/capacity/slopes.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
+
 FORMAT = 1  # of the file
 LINES_MOST = 256  # of a file: it has some fifty
 POINTS_MOST = 64  # of a line
@@ -120,7 +122,7 @@
     """Raises WrongSlopesError."""
     try:
         slopes = msgspec.json.decode(data, type=Slopes)
-    except msgspec.MsgspecError as wrong:
+    except UNDECODABLE as wrong:
         raise WrongSlopesError(f"no file of slopes: {wrong}") from wrong
     if slopes.format != FORMAT:
         raise WrongSlopesError(f"format {slopes.format}; this program reads {FORMAT}")
--- a/lichencleat/cli/keyed.py
+++ b/lichencleat/cli/keyed.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from lichencleat.cli import output
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.keyed.book import READ_LATE
 from lichencleat.keyed.records import (
     ENTRY,
@@ -67,7 +68,7 @@
     for key, value in engine.scan(ENTRY):
         try:
             yield key[1:].hex(), decode_entry(value)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             yield key[1:].hex(), None
 
 
--- a/lichencleat/distribution/serving.py
+++ b/lichencleat/distribution/serving.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.distribution.feed import Answer, Drop, Feeder
 from lichencleat.distribution.terms import (
     DIGESTS,
@@ -124,7 +125,7 @@
         try:
             decode = DECODE.get(request.what)
             content = decode(request.content) if decode is not None else None
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             self.count("questions that can't be read")
             self.answer(asker, False, raw("unfit"))
             return
--- a/lichencleat/distribution/source.py
+++ b/lichencleat/distribution/source.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.distribution.errors import TableError
 from lichencleat.distribution.pages import LEVEL, PAGE_MOST, key_of, place_of
 from lichencleat.distribution.table import Table, unfit
@@ -149,7 +150,7 @@
     def apply(self, index: int, command: msgspec.Raw) -> Published:
         try:
             wanted = decode_publish(command)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return self.refused("no command")
         if wanted.only_if is not None and wanted.only_if != self.table.version:
             return self.refused("another version is in force")
--- a/lichencleat/distribution/subscriber.py
+++ b/lichencleat/distribution/subscriber.py
@@ -15,6 +15,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from lichencleat.chosen.file import host_port
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.distribution.acts import Act, Decision
 from lichencleat.distribution.copy import Copy
 from lichencleat.distribution.counts import OLDEST
@@ -130,7 +131,7 @@
                 content = DECODE[what](reply.content)
             else:
                 why = decode_why(reply.content)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             self.end("an answer that can't be read", "answers that can't be read")
             return
         self.host.told(self, what, content, why)
--- a/lichencleat/keyed/keeper.py
+++ b/lichencleat/keyed/keeper.py
@@ -16,6 +16,7 @@
 import msgspec
 from twisted.internet.defer import Deferred, inlineCallbacks
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.keyed.book import Book, Told
 from lichencleat.keyed.records import (
     ENTRY,
@@ -166,7 +167,7 @@
     def recovers(self, key: bytes, value: bytes, now: int) -> bool:
         try:
             return self.book.recover(key, decode_entry(value), now)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             self.report.count("keyed", "entries unreadable")
             return False
 
--- a/lichencleat/lab/rig/relay.py
+++ b/lichencleat/lab/rig/relay.py
@@ -12,11 +12,11 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 from twisted.internet.threads import blockingCallFromThread
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.quorum.wire import Greeting, decode_frame
 
 LOCAL = "127.0.0.1"
@@ -195,6 +195,6 @@
         return None
     try:
         frame = decode_frame(head[4 : 4 + size])
-    except msgspec.MsgspecError:
+    except UNDECODABLE:
         return CLIENT
     return frame.member or CLIENT if isinstance(frame, Greeting) else CLIENT
--- a/lichencleat/lab/rig/tap.py
+++ b/lichencleat/lab/rig/tap.py
@@ -11,8 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
-
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.distribution.terms import FOLLOW, decode_follow
 from lichencleat.lab.checkers.distribution import Acknowledged
 from lichencleat.lab.rig.relay import Inward, Link, Relay, Relays
@@ -53,7 +52,7 @@
         while len(heard) >= 4 and len(heard) >= 4 + (size := int.from_bytes(heard[:4], "big")):
             try:
                 frame = decode_frame(bytes(heard[4 : 4 + size]))
-            except msgspec.MsgspecError:
+            except UNDECODABLE:
                 frame = None
             del heard[: 4 + size]
             if isinstance(frame, Request):
--- a/lichencleat/members/port.py
+++ b/lichencleat/members/port.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.members.gossip import Gossip, Send
 from lichencleat.members.rumors import DATAGRAM_MOST
 from lichencleat.members.terms import Datagram, Word
@@ -38,7 +39,7 @@
     def datagramReceived(self, data: bytes, address: tuple[str, int]) -> None:
         try:
             datagram = decode(data)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             self.counts["not understood"] += 1
             return
         self.counts["heard"] += 1
--- a/lichencleat/owners/jobs.py
+++ b/lichencleat/owners/jobs.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.owners.choice import better, heir
 from lichencleat.owners.terms import (
     CANDIDATES_MOST,
@@ -52,7 +53,7 @@
     def apply(self, index: int, command: msgspec.Raw) -> Any:
         try:
             what = decode_command(command)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return Done(False, "no command")
         answer = self.do(index, what)
         self.settle(index)
--- a/lichencleat/quorum/client.py
+++ b/lichencleat/quorum/client.py
@@ -15,6 +15,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.quorum.links import Framed
 from lichencleat.quorum.seats import Life, Welcome
 from lichencleat.quorum.sessions import Verdict
@@ -230,7 +231,11 @@
         if link is not self.link or not self.calls or reply.number != self.requests:
             return
         call = self.calls[0]
-        content = msgspec.msgpack.decode(reply.content)
+        try:
+            content = msgspec.msgpack.decode(reply.content)
+        except UNDECODABLE:  # spoilt on its way: as if it had not come
+            link.transport.abortConnection()
+            return
         if reply.done:
             if call.what == "propose" and not self.session:
                 self.session, self.number = content, 0
--- a/lichencleat/quorum/facts.py
+++ b/lichencleat/quorum/facts.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
+
 FACTS_MOST = 65_536  # of them
 VALUE_MOST = 65_536  # bytes of one: a snapshot holds them all
 
@@ -40,7 +42,7 @@
     def apply(self, index: int, command: msgspec.Raw) -> Any:
         try:
             wanted = decode_set(command)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return Changed(False, 0, "no command")
         known = self.facts.get(wanted.name)
         revision = known.revision if known else 0
--- a/lichencleat/quorum/links.py
+++ b/lichencleat/quorum/links.py
@@ -11,10 +11,10 @@
 import random
 from typing import Any, Protocol
 
-import msgspec
 from twisted.internet.protocol import ClientFactory, Factory
 from twisted.protocols.basic import Int32StringReceiver
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.quorum.terms import Member, Message
 from lichencleat.quorum.wire import (
     FRAME_MOST,
@@ -73,7 +73,7 @@
         """A frame that is none ends the connection: what follows it can't be known."""
         try:
             return decode_frame(data)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             self.transport.abortConnection()
             return None
 
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -14,6 +14,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.quorum.facts import Facts
 from lichencleat.quorum.group import changed, without
 from lichencleat.quorum.journal import Journal
@@ -374,7 +375,7 @@
 
         try:
             self.ask(request, answer)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             self.count("requests that can't be read")
             answer(False, Reason.UNFIT)
         self.stir()
--- a/lichencleat/quorum/state.py
+++ b/lichencleat/quorum/state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.quorum.sessions import Held, Sessions, Verdict
 from lichencleat.quorum.terms import Entry, Group, Snapshot, What
 
@@ -73,7 +74,7 @@
         """
         try:
             name, what = decode_command(data)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return encode(None)
         part = self.parts.get(name)
         return encode(part.apply(index, what) if part is not None else None)
--- a/lichencleat/revive/boot.py
+++ b/lichencleat/revive/boot.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
+
 BACK = 1_000_000  # µs that a clock may be behind the last sign: two machines' worth of adjustment
 AHEAD = 366 * 86_400_000_000  # µs: down for longer than a year is a clock that is wrong
 FORMAT = 1
@@ -42,7 +44,7 @@
         return None
     try:
         boot = decode(said)
-    except msgspec.MsgspecError as wrong:
+    except UNDECODABLE as wrong:
         raise WrongBootError("its boot record can't be read; see 'lichencleat store check'") from wrong
     if boot.format != FORMAT:
         raise WrongBootError(f"its boot record has format {boot.format}, and this program's is {FORMAT}")
--- a/lichencleat/revive/state.py
+++ b/lichencleat/revive/state.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.owners.jobs import Jobs
 from lichencleat.revive.terms import (
     JOB,
@@ -69,7 +70,7 @@
     def apply(self, index: int, command: msgspec.Raw) -> Any:
         try:
             what = decode_command(command)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return Done(False, "no command")
         if isinstance(what, Report):
             return self.report(index, what)
--- a/lichencleat/shares/pools.py
+++ b/lichencleat/shares/pools.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.owners.jobs import Jobs
 from lichencleat.shares.terms import (
     LIMIT_MOST,
@@ -53,7 +54,7 @@
     def apply(self, index: int, command: msgspec.Raw) -> Any:
         try:
             what = decode_command(command)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return Done(False, "no command")
         if isinstance(what, Ask):
             return self.ask(index, what)
--- a/lichencleat/store/inspect.py
+++ b/lichencleat/store/inspect.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import msgspec
 from crc32c import crc32c
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.store import frames
 from lichencleat.store.batch import Batch
 from lichencleat.store.checkpoint import Point
@@ -232,7 +232,7 @@
     expected: int | None = None
     batch: list[tuple[int, int, bytes, bytes]] = []
     for _, _, body in frames.islands(read, frames.FILE_HEAD, size, crc32c(salt)):
-        with contextlib.suppress(msgspec.MsgspecError, BadRecordError):  # a head's body is no record's
+        with contextlib.suppress(*UNDECODABLE, BadRecordError):  # a head's body is no record's
             sequence, kind, _, number, key, value = frames.decode_body(body)
             if end is not None and sequence > end:
                 return
--- a/lichencleat/store/recovery.py
+++ b/lichencleat/store/recovery.py
@@ -11,8 +11,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-import msgspec
-
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.store import checkpoint, frames
 from lichencleat.store.disk import Disk
 from lichencleat.store.errors import DamagedError, Finding, UnfitError
@@ -128,7 +127,7 @@
         for offset, length, body in frames.bodies(read, segment.start, size, segment.salt):
             try:
                 sequence, kind, back, number, _, _ = frames.decode_body(body)
-            except msgspec.MsgspecError:
+            except UNDECODABLE:
                 break
             if not tail.reads(offset, length, sequence, kind, back, number):
                 break
@@ -141,7 +140,7 @@
         elif end < size:
             self.torn = size - end
             for at, _, body in frames.islands(read, end, size, segment.salt):
-                with contextlib.suppress(msgspec.MsgspecError):
+                with contextlib.suppress(*UNDECODABLE):
                     sequence, _, back, _, _, _ = frames.decode_body(body)
                     if tail.lost(sequence, back):
                         self.finds(
@@ -193,7 +192,7 @@
         for at, length, body in frames.bodies(self.reader(segment.file), offset, segment.size, segment.salt):
             try:
                 found, kind, _, number, key, _ = decode(body)
-            except msgspec.MsgspecError:
+            except UNDECODABLE:
                 break
             if found != sequence:
                 break
--- a/lichencleat/store/segments.py
+++ b/lichencleat/store/segments.py
@@ -8,6 +8,7 @@
 import msgspec
 from crc32c import crc32c
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.store import frames
 
 NAME = "{:012d}.log"  # of a segment's file, by its number
@@ -95,7 +96,7 @@
     for offset, length, body in frames.bodies(read, frames.FILE_HEAD, size, salt_sum):
         try:
             told = decode_head(body)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return None
         segment = Segment(told[1], file, salt_sum, offset + length, told[2])
         segment.through = told[3]
--- a/lichencleat/zones/state.py
+++ b/lichencleat/zones/state.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from lichencleat.decoding import UNDECODABLE
 from lichencleat.owners.jobs import Jobs
 from lichencleat.zones.terms import (
     HISTORY_MOST,
@@ -58,7 +59,7 @@
     def apply(self, index: int, command: msgspec.Raw) -> Any:
         try:
             what = decode_command(command)
-        except msgspec.MsgspecError:
+        except UNDECODABLE:
             return Done(False, "no command")
         if isinstance(what, Tell):
             return self.tell(index, what)
--- a/tests/distribution/test_serving.py
+++ b/tests/distribution/test_serving.py
@@ -1,5 +1,6 @@
 """The host round a feeder: one answer at most waits for each link, and one that does not read is dropped."""
 
+import msgspec
 import pytest
 from twisted.internet.task import Clock
 
@@ -173,10 +174,15 @@
     assert link.replies[-1].done and link.replies[-1].content == raw(b"{}")
 
 
-@pytest.mark.parametrize("what", [FOLLOW, PAGES_OF, FIND])
-def test_a_question_that_can_t_be_read_is_declined_and_counted(what):
+NO_TEXT = msgspec.Raw(encode(Wanting("tenant", "acme")).replace(b"acme", b"ac\xffe"))
+
+
+@pytest.mark.parametrize(
+    ("what", "content"), [*((each, "no such thing") for each in (FOLLOW, PAGES_OF, FIND)), (FIND, NO_TEXT)]
+)
+def test_a_question_that_can_t_be_read_is_declined_and_counted(what, content):
     host, link = Host(), Link()
-    host.ask(link, what, "no such thing")
+    host.ask(link, what, content)
     host.clock.advance(0)
     assert [(each.done, each.content) for each in link.replies] == [(False, raw("unfit"))]
     assert host.serving.counts == {"questions that can't be read": 1}
--- a/tests/distribution/test_subscriber.py
+++ b/tests/distribution/test_subscriber.py
@@ -14,7 +14,7 @@
 from lichencleat.distribution.relay import SWEEP, RelayProcess
 from lichencleat.distribution.subscriber import CALL, Subscriber
 from lichencleat.distribution.table import Table
-from lichencleat.distribution.terms import FOLLOW, Change, Fed, Follow, Say
+from lichencleat.distribution.terms import FOLLOW, Batch, Change, Fed, Follow, Say
 from lichencleat.quorum.seats import Life
 from lichencleat.quorum.wire import FORMAT, Greeting, Reply, Request, raw
 
@@ -211,11 +211,16 @@
     return made
 
 
+BATCH = Batch(3, 0, bytes(16), (Change("tenant", "acme", b"{}"),))
+NO_TEXT = msgspec.Raw(bytes(raw(Fed(Say.NEWS, 3, bytes(16), 0, (BATCH,)))).replace(b"acme", b"ac\xffe"))
+
+
 @pytest.mark.parametrize(
     ("wrong", "counted"),
     [
         (lambda number: msgspec.Raw(b"\xff"), "answers that can't be read"),
         (lambda number: raw("no"), "answers that can't be read"),
+        (lambda number: NO_TEXT, "answers that can't be read"),
         (lambda number: raw(Fed(9, 1, b"", 0)), "unfit answers"),
         (lambda number: raw(Fed(Say.NEWS, 1, b"", 0)), "unfit answers"),
     ],
--- /dev/null
+++ b/tests/quorum/test_undecodable.py
@@ -0,0 +1,77 @@
+"""Text that is no UTF-8, wherever bytes of others are decoded: it ends there, and nothing else does."""
+
+import msgspec
+import pytest
+from twisted.internet.testing import StringTransport
+
+from lichencleat.distribution.source import Publish, Source
+from lichencleat.distribution.terms import Change
+from lichencleat.owners.jobs import Jobs
+from lichencleat.owners.terms import Define as DefineJob
+from lichencleat.quorum import wire
+from lichencleat.quorum.facts import Facts, Set
+from lichencleat.quorum.links import Framed
+from lichencleat.quorum.program import parts
+from lichencleat.quorum.seats import Life
+from lichencleat.quorum.state import State, command
+from lichencleat.quorum.terms import Entry, What
+from lichencleat.revive.terms import Report
+from lichencleat.shares.terms import Define as DefinePool
+from lichencleat.zones.terms import Define as DefineZone
+
+COMMANDS = {
+    "facts": Set("fact", b"v"),
+    "owners": DefineJob("job", "zone"),
+    "shares": DefinePool("pool", 10, 1, 4),
+    "revive": Report("node", "zone", 1, True, 0, 1, True, True, 0.5),
+    "zones": DefineZone("zone", "region", 1.0),
+    "distribution": Publish((Change("tenant", "acme", b"{}"),)),
+}
+
+
+def spoilt(data):
+    """Each byte in turn as one that stands in no UTF-8."""
+    return [data[:at] + b"\xff" + data[at + 1 :] for at in range(len(data))]
+
+
+def no_text(data, decode):
+    """Those of them that fail as text: what is asked of this file."""
+    found = []
+    for each in spoilt(data):
+        try:
+            decode(each)
+        except UnicodeDecodeError:
+            found.append(each)
+        except msgspec.MsgspecError:
+            pass
+    assert found
+    return found
+
+
+@pytest.mark.parametrize("name", COMMANDS)
+def test_an_entry_that_no_part_can_read_stays_in_the_log_and_changes_nothing(name):
+    """Each member applies it at each start: one that raised would take the whole group along, for good."""
+    state = State({**parts(), "distribution": Source()})
+    assert set(state.parts) == set(COMMANDS) and isinstance(state.parts["owners"], Jobs)
+    before = state.dump()
+    for index, data in enumerate(no_text(command(name, COMMANDS[name]), msgspec.msgpack.decode), 1):
+        state.apply(index, Entry(1, What.COMMAND, data))
+    assert state.dump() == before
+    index = state.applied + 1
+    state.apply(index, Entry(1, What.COMMAND, command("facts", Set("fact", b"v"))))
+    assert isinstance(state.parts["facts"], Facts) and state.read("facts", "fact").revision == index
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        wire.Greeting(wire.FORMAT, b"mark", "group", 0, 0, Life(1, 2), "client"),
+        wire.Request(1, "status"),
+        wire.Reply(1, True, wire.raw(1), 2, "127.0.0.1", 3),
+    ],
+)
+def test_a_frame_whose_text_is_none_ends_its_connection(frame):
+    for data in no_text(wire.encode(frame), wire.decode_frame):
+        framed = Framed()
+        framed.makeConnection(StringTransport())
+        assert framed.read(data) is None and framed.transport.disconnected
