--- a/lichencleat/distribution/pages.py
+++ b/lichencleat/distribution/pages.py
@@ -60,8 +60,12 @@
 EMPTY = [digest_of(number, b"") for number in range(PAGES)]  # of a table without records
 
 
-def digest_bytes(total: int) -> bytes:
-    return (total & SUM_MASK).to_bytes(DIGEST, "little")
+def digest_bytes(total: int, version: int) -> bytes:
+    """Of a table: `total` is the sum of its pages' digests. The version counts, so that none is taken for
+    another's, also where a number was spoilt on its way.
+    """
+    known = xxh3_128_intdigest(version.to_bytes(9, "little", signed=True), PAGES) if version else 0
+    return (total + known & SUM_MASK).to_bytes(DIGEST, "little")
 
 
 def find(page: bytes, place: int, key: bytes) -> bytes | None:
--- a/lichencleat/distribution/rebuild.py
+++ b/lichencleat/distribution/rebuild.py
@@ -28,7 +28,7 @@
         raise SpoiltError(f"a snapshot has {PAGES} digests of {DIGEST} bytes, not {len(head.pages)} bytes")
     whole = int.from_bytes
     digests = [whole(each, "little") for each in SPLIT.unpack(head.pages)]
-    if pages.digest_bytes(sum(digests)) != head.digest:
+    if pages.digest_bytes(sum(digests), head.version) != head.digest:
         raise SpoiltError("a snapshot's digests do not add up")
     return digests
 
@@ -52,7 +52,7 @@
             raise ChainError(f"another digest at {head.version}, which is in force")
         self.table, self.base, self.version = table, table.version, head.version
         self.digests = digests_of(head)
-        self.total = int.from_bytes(head.digest, "little")
+        self.total = sum(self.digests) & pages.SUM_MASK
         if past is None:
             self.pages, self.records, self.bytes = list(table.pages), table.records, table.bytes
             self.wanted = bytearray(map(ne, self.digests, table.page_digests))  # a page: 1 where it is
--- a/lichencleat/distribution/table.py
+++ b/lichencleat/distribution/table.py
@@ -114,7 +114,7 @@
 
     @property
     def digest(self) -> bytes:
-        return pages.digest_bytes(self.total)
+        return pages.digest_bytes(self.total, self.version)
 
     def find(self, kind: str, name: str) -> bytes | None:
         """The value, or None; a few µs."""
@@ -255,7 +255,7 @@
             self.refuse(f"there would be {self.records} records, {RECORDS_MOST} at the most")
         if self.bytes > TABLE_BYTES:
             self.refuse(f"the table would have {self.bytes} bytes, {TABLE_BYTES} at the most")
-        if self.checks and pages.digest_bytes(self.total) != batch.digest:
+        if self.checks and pages.digest_bytes(self.total, batch.version) != batch.digest:
             raise SpoiltError(f"version {batch.version}: its digest is another")
         self.at += 1
         self.sorted, self.begins = 0, len(self.before)
--- a/lichencleat/distribution/terms.py
+++ b/lichencleat/distribution/terms.py
@@ -92,7 +92,7 @@
 
     version: int
     digest: bytes
-    pages: bytes  # DIGEST bytes of each page, in order: their sum modulo 2**128 is `digest`
+    pages: bytes  # DIGEST bytes of each page, in order: `digest` is made of their sum and the version
     age: int
 
 
--- a/lichencleat/lab/rig/mistakes.py
+++ b/lichencleat/lab/rig/mistakes.py
@@ -165,7 +165,7 @@
     for number in range(PAGES):
         data = kept.store.engine.get(page_key(number, slot_of(head.slots, number)))
         total += EMPTY[number] if data is None else unpack(number, data)[1]
-    return msgspec.structs.replace(head, digest=digest_bytes(total))
+    return msgspec.structs.replace(head, digest=digest_bytes(total, head.version))
 
 
 def load(kept: Kept, mistake: str) -> Any:
--- a/lichencleat/lab/rig/watcher.py
+++ b/lichencleat/lab/rig/watcher.py
@@ -164,7 +164,8 @@
         if seen == self.last and not why:
             return
         self.last = seen
-        digest = digest_bytes(sum(digest_of(number, page) for number, page in enumerate(table.pages)))
+        total = sum(digest_of(number, page) for number, page in enumerate(table.pages))
+        digest = digest_bytes(total, table.version)
         line = {
             "at": moment(),
             "life": os.getpid(),
--- a/tests/distribution/test_table.py
+++ b/tests/distribution/test_table.py
@@ -191,6 +191,8 @@
         with pytest.raises(SpoiltError):
             ended(table.stage([wrong, more]))
         assert (table.digest, table.pages, table.version) == (before, pages_before, 2)
+    with pytest.raises(SpoiltError):  # a version that nobody made, with the right content
+        ended(table.stage([Batch(8, 2, good.digest, good.changes)]))
     second = table.stage([good, Batch(10, 9, good.digest, more.changes)])
     with pytest.raises(SpoiltError):  # the second one's
         ended(second)
@@ -348,9 +350,8 @@
         assert pages.fault(number, page), page
         digests = list(pages.EMPTY)
         digests[number] = pages.digest_of(number, page)
-        head = Digests(
-            5, pages.digest_bytes(sum(digests)), b"".join(each.to_bytes(16, "little") for each in digests), 0
-        )
+        told = b"".join(each.to_bytes(16, "little") for each in digests)
+        head = Digests(5, pages.digest_bytes(sum(digests), 5), told, 0)
         rebuild = Table().rebuild(head)
         assert rebuild.missing(9) == [number]
         assert not rebuild.put(number, zlib.compress(page))
@@ -368,6 +369,8 @@
         Digests(9, head.digest, bytes(spoilt), 0),
         Digests(9, head.digest, head.pages[:-16], 0),
         Digests(9, bytes(16), head.pages, 0),
+        Digests(head.version + (1 << 40), head.digest, head.pages, 0),  # a version beyond all that there are
+        Digests(9, head.digest, head.pages, 0),
     ]:
         with pytest.raises(SpoiltError):
             table.rebuild(wrong)
