Programs: voters and relays run by one piece of code; no behaviour

Need: the relay's program wrote the voter's run again line by line (reactor's errors as lines, signals, exit code). Change: lichencleat/programs.py, run_program; both call it.

--- a/lichencleat/distribution/program.py
+++ b/lichencleat/distribution/program.py
@@ -4,18 +4,17 @@
 
 import os
 import random
-import signal
 from typing import Any
 
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.error import CannotListenError
-from twisted.logger import globalLogBeginner
 
 from lichencleat.clocks import make_reactor, unix_time
 from lichencleat.distribution.file import RelayChoice
 from lichencleat.distribution.relay import RelayProcess
 from lichencleat.distribution.table import Table
 from lichencleat.logs.lines import make_log
+from lichencleat.programs import run_program
 from lichencleat.store.errors import StoreError
 
 STOPPED, WRONG = 0, 2  # exit codes
@@ -108,17 +107,4 @@
 def run(chosen: RelayChoice) -> int:
     """The exit code: 0 told to leave, 2 could not start."""
     reactor = make_reactor()
-    relay = Running(reactor, chosen)
-
-    def tell(event: dict[str, Any]) -> None:
-        """Errors that reach Twisted are lines like all others."""
-        failure = event.get("log_failure")
-        if failure is not None:
-            relay.log.warning("error", trace=failure.getBriefTraceback().replace("\n", " | "))
-
-    globalLogBeginner.beginLoggingTo([tell], redirectStandardIO=False, discardBuffer=True)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(relay.told_to_leave))
-    reactor.callWhenRunning(relay.start)
-    reactor.run(installSignalHandlers=False)
-    return relay.code
+    return run_program(reactor, Running(reactor, chosen))
--- a/lichencleat/quorum/program.py
+++ b/lichencleat/quorum/program.py
@@ -4,18 +4,17 @@
 
 import os
 import random
-import signal
 from typing import Any
 
 import msgspec
 from twisted.internet.defer import inlineCallbacks
 from twisted.internet.error import CannotListenError
-from twisted.logger import globalLogBeginner
 
 from lichencleat.clocks import make_reactor, unix_time
 from lichencleat.logs.lines import make_log
 from lichencleat.owners.expiry import Expiry
 from lichencleat.owners.jobs import Jobs
+from lichencleat.programs import run_program
 from lichencleat.quorum.facts import Facts
 from lichencleat.quorum.file import QuorumChoice, host_port
 from lichencleat.quorum.journal import TOP, Journal
@@ -204,17 +203,4 @@
 def run(chosen: QuorumChoice) -> int:
     """The exit code: 0 told to leave, 2 could not start, 3 left by itself, rather than lie."""
     reactor = make_reactor()
-    member = Running(reactor, chosen)
-
-    def tell(event: dict[str, Any]) -> None:
-        """Errors that reach Twisted are lines like all others."""
-        failure = event.get("log_failure")
-        if failure is not None:
-            member.log.warning("error", trace=failure.getBriefTraceback().replace("\n", " | "))
-
-    globalLogBeginner.beginLoggingTo([tell], redirectStandardIO=False, discardBuffer=True)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(member.told_to_leave))
-    reactor.callWhenRunning(member.start)
-    reactor.run(installSignalHandlers=False)
-    return member.code
+    return run_program(reactor, Running(reactor, chosen))
