Rig: processes are signalled, stopped and ended by one class; no behaviour

Need: voters, nodes and the distribution's processes each had the same methods for it. Change: Signalled in lab/rig/rig.py, the three inherit.

--- a/lichencleat/lab/rig/distribution_parts.py
+++ b/lichencleat/lab/rig/distribution_parts.py
@@ -6,7 +6,6 @@
 import os
 import random
 import shutil
-import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -18,7 +17,7 @@
 from lichencleat.distribution.kept import PAGE, STORE
 from lichencleat.lab.rig.heldback import FULL
 from lichencleat.lab.rig.relay import LOCAL
-from lichencleat.lab.rig.rig import GROUP, PATIENCE, free_port
+from lichencleat.lab.rig.rig import GROUP, Signalled, free_port
 from lichencleat.store.batch import Batch
 from lichencleat.store.disk import RealDisk
 from lichencleat.store.engine import Engine
@@ -27,7 +26,7 @@
 ROOT = Path(__file__).resolve().parents[3]
 
 
-class Child:
+class Child(Signalled):
     """A process of the rig behind a tapped link, with a directory and a log that outlive it."""
 
     def __init__(self, rig: Any, name: str, zone: str) -> None:
@@ -47,28 +46,6 @@
             )
         self.rig.children.append(self.running)
 
-    def up(self) -> bool:
-        return self.running is not None and self.running.poll() is None
-
-    def signal(self, number: int) -> None:
-        if self.up():
-            os.kill(self.running.pid, number)  # type: ignore[union-attr]
-
-    def kill(self) -> None:
-        """Where its disk holds back what was not flushed, this is a cut of power."""
-        self.signal(signal.SIGKILL)
-        self.ended()
-
-    def ended(self) -> int:
-        assert self.running is not None
-        return self.running.wait(PATIENCE)
-
-    def stop(self) -> None:
-        self.signal(signal.SIGSTOP)
-
-    def go_on(self) -> None:
-        self.signal(signal.SIGCONT)
-
     def fill_disk(self) -> None:
         (self.rig.path / f"{self.name}{FULL}").touch()
 
--- a/lichencleat/lab/rig/nodes.py
+++ b/lichencleat/lab/rig/nodes.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import json
-import os
 import random
-import signal
 import subprocess
 import sys
 import time
@@ -16,7 +14,7 @@
 
 from lichencleat.lab.rig.peers import Caller, Dependency, Engine, Listed
 from lichencleat.lab.rig.relay import LOCAL
-from lichencleat.lab.rig.rig import PATIENCE, Rig, free_port
+from lichencleat.lab.rig.rig import Rig, Signalled, free_port
 
 HARD_LIMIT = 6_000_000  # µs, of both tariffs
 ROOT = Path(__file__).resolve().parents[3]
@@ -62,7 +60,7 @@
     }
 
 
-class RigNode:
+class RigNode(Signalled):
     """One process of the node; its engine, directory and log outlive it."""
 
     def __init__(
@@ -118,21 +116,6 @@
         self.callers.append(made)
         return made
 
-    def up(self) -> bool:
-        return self.running is not None and self.running.poll() is None
-
-    def signal(self, number: int) -> None:
-        if self.up():
-            os.kill(self.running.pid, number)  # type: ignore[union-attr]
-
-    def kill(self) -> None:
-        self.signal(signal.SIGKILL)
-        self.ended()
-
-    def ended(self) -> int:
-        assert self.running is not None
-        return self.running.wait(PATIENCE)
-
     def said(self) -> str:
         return self.log.read_text() if self.log.exists() else ""
 
--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -66,7 +66,36 @@
     raise AssertionError(f"waited {patience:g} s for {what}\n{more()}")
 
 
-class Voter:
+class Signalled:
+    """A process that is ended, stopped and woken by signals; `running` is the last one that was started."""
+
+    running: subprocess.Popen | None = None
+
+    def up(self) -> bool:
+        return self.running is not None and self.running.poll() is None
+
+    def signal(self, number: int) -> None:
+        if self.running is not None and self.running.poll() is None:
+            os.kill(self.running.pid, number)
+
+    def kill(self) -> None:
+        """Where its disk holds back what was not flushed, this is a cut of power."""
+        self.signal(signal.SIGKILL)
+        self.ended()
+
+    def stop(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self.signal(signal.SIGCONT)
+
+    def ended(self) -> int:
+        """Its exit code, once it has ended."""
+        assert self.running is not None
+        return self.running.wait(PATIENCE)
+
+
+class Voter(Signalled):
     """One process of the program; its directory outlives it."""
 
     def __init__(self, rig: Rig, name: str, disk: str) -> None:
@@ -102,15 +131,6 @@
             words = ["quorum", "run", str(self.file)]
             self.running = self.rig.program(words, stderr=log, env=self.rig.variables(self.name))
 
-    def signal(self, number: int) -> None:
-        if self.running is not None and self.running.poll() is None:
-            os.kill(self.running.pid, number)
-
-    def kill(self) -> None:
-        """Where its disk holds back what was not flushed, this is a cut of power."""
-        self.signal(signal.SIGKILL)
-        self.ended()
-
     def fill_disk(self) -> None:
         """Nothing more goes onto its disk until `empty_disk`."""
         (self.rig.path / f"{self.name}{FULL}").touch()
@@ -118,17 +138,6 @@
     def empty_disk(self) -> None:
         (self.rig.path / f"{self.name}{FULL}").unlink(missing_ok=True)
 
-    def stop(self) -> None:
-        self.signal(signal.SIGSTOP)
-
-    def go_on(self) -> None:
-        self.signal(signal.SIGCONT)
-
-    def ended(self) -> int:
-        """Its exit code, once it has ended."""
-        assert self.running is not None
-        return self.running.wait(PATIENCE)
-
     def status(self) -> dict[str, Any] | None:
         """What it says of itself; None where it does not answer."""
         return self.rig.status(self)
