Connections: a full table is kept while opening them takes the cores

Reading is one a core at the most, so it is connections being made: 24 to 47 ms of work each, for attempts that are then deferred. Lines: idle_after closed strangers' connections after 0.1 s always, so each attempt made a new one. Ruled out: slow cores (runs take 300 to 500 ms alone), memory (0.3 to 0.7 used), calls (0.1 of what the ledger survives). Assumption that did not carry over: that a connection costs little beside a request. Change: the span follows integral feedback on its logarithm, with 1.5 a core beside runs as reference. Guards against any crowd of attempts; harm: a caller of one attempt finds no room.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -19,6 +19,7 @@
 import random
 from collections import deque
 from collections.abc import Iterator
+from math import exp
 from statistics import median
 
 from lichencleat.terms import (
@@ -83,6 +84,10 @@
 CALLERS_KEPT = 64  # last arrivals: some ten seconds' worth on two cores
 CALLERS_BACK = 0.5  # of them from a caller seen among them: with fewer, callers are strangers
 IDLE_SOON = 100_000  # µs after which strangers' idle connections are closed: nothing more will come on them
+IDLE_PERIOD = 1_000_000  # µs between changes of that span: some ten arrivals' worth
+IDLE_GAIN = 3  # of its logarithm, by what wants a core beside runs: e-fold within a third of a core too much
+IDLE_STEPS = (2 / 3, 8)  # times, at the most in one change: open again gently, shut in two or three
+BESIDE = 1.5  # wanting a core beside runs, per core: reading is one at the most, the rest opens connections
 SHED_FEW = 0.5  # of the last arrivals: with fewer deferred, others may have room, so callers may try them
 LEAVE_MARGIN = 300_000  # µs before the stop by which all is answered: three wake-ups
 
@@ -152,6 +157,8 @@
         self.said = -1.0  # the free value that they heard
         self.callers_seen: deque[int] = deque(maxlen=CALLERS_KEPT)
         self.connections_idle = self.said_idle = machine.connections_idle
+        self.strangers_idle = float(IDLE_SOON)
+        self.idle_next = self.beside = self.beside_samples = 0
 
     # --- inputs: they only update what is known ---
 
@@ -427,11 +434,30 @@
         self.ease += (-TOLD_UP if idle else TOLD_UP if pressed else -TOLD_DOWN) * self.pace
         self.ease = min(TOLD_MOST, max(0.0, self.ease))
         self.deferred_lately = 0
+        self.judge_connections(now, wanting)
         drowned = self.read_time(now) > self.longest_soft_limit * DROWNED  # its answers come too late
         self.healthy = self.leaves_at is None and not drowned and not self.sick(now)
         self.to_stop.update((each, None) for each in self.running if each.answered)  # a hang ignores it
         self.receipts = {each: until for each, until in self.receipts.items() if until > now}
 
+    def judge_connections(self, now: int, wanting: float) -> None:
+        """Integral feedback on the logarithm of the span for which strangers' idle connections are kept.
+
+        Where opening connections and reading take the cores, a table left full turns callers away for
+        nothing; where they take little, it is emptied, as it takes capacity and keeps callers out. Guards
+        against any crowd of attempts: walks through the list, clients' retries, a caller's burst. Harm: a
+        caller that makes one attempt finds no room while the table is full.
+        """
+        self.beside += max(0, wanting - len(self.running))
+        self.beside_samples += 1
+        if now < self.idle_next:
+            return
+        over = self.beside / self.beside_samples / self.cores - BESIDE
+        least, most = IDLE_STEPS
+        span = self.strangers_idle * min(most, max(least, exp(min(most, IDLE_GAIN * over))))
+        self.strangers_idle = max(IDLE_SOON, min(span, self.connections_idle))
+        self.idle_next, self.beside, self.beside_samples = now + IDLE_PERIOD, 0, 0
+
     def answer_due(self, now: int) -> Iterator[Decision]:
         """Guards the first rule: whatever is due before the next wake-up is answered now."""
         stalled = self.stalled(now)  # then a caller of a pure run may still find another node in time
@@ -648,12 +674,12 @@
             yield Decision(Act.WAKE, span=self.period)
 
     def idle_after(self) -> int:
-        """Connections are kept for callers known to come back; each of a stranger takes room in vain.
+        """Connections are kept for callers known to come back; each of a stranger mostly takes room in vain.
 
         Guards against a table full of idle connections, which also slows the node. Harm: handshakes.
         """
         known = len(self.callers_seen) - len(set(self.callers_seen)) >= CALLERS_BACK * CALLERS_KEPT
-        return self.connections_idle if known else min(IDLE_SOON, self.connections_idle)
+        return self.connections_idle if known else int(min(self.strangers_idle, self.connections_idle))
 
     def free_value(self, now: int) -> float | None:
         if self.told is Told.LEVEL:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -321,3 +321,48 @@
     assert not node.calls_slow()
     node.call_times.extend([(500_000, True)] * 8)
     assert node.calls_slow()
+
+
+@pytest.fixture
+def crowded_by_strangers():
+    node = Node(Machine(cores=2, connections_idle=30 * SECOND), random.Random(1))
+    node.callers_seen.extend(range(64))
+    return node
+
+
+def idle_spans(node, wanting, seconds):
+    """The spans that callers' connections get, one for each second in which so many want a core."""
+    spans = []
+    for _ in range(seconds):
+        for _ in range(10):
+            node.gauges, node.clock = (
+                Gauges(busy=0.9, wanting_core=wanting),
+                getattr(node, "clock", 0) + 100_000,
+            )
+            node.sample(node.clock)
+        spans.append(node.idle_after())
+    return spans
+
+
+def test_a_full_table_is_left_full_while_opening_connections_takes_the_cores(crowded_by_strangers):
+    assert idle_spans(crowded_by_strangers, 2.0, 3)[-1] == 100_000  # reading alone
+    assert idle_spans(crowded_by_strangers, 12.0, 4)[-1] == 30 * SECOND
+    spans = idle_spans(crowded_by_strangers, 2.0, 20)
+    assert spans == sorted(spans, reverse=True) and spans[-1] == 100_000
+    assert all(
+        later >= earlier // 2 for earlier, later in zip(spans, spans[1:], strict=False)
+    )  # no flood at once
+
+
+def test_a_crowd_at_the_cores_of_runs_alone_keeps_no_idle_connections(crowded_by_strangers):
+    plain = Tariff("plain", soft_limit=2 * SECOND, hard_limit=5 * SECOND)
+    for _ in range(8):
+        crowded_by_strangers.running[Request(plain, arrived=0, due=9 * SECOND, started=0)] = None
+    assert idle_spans(crowded_by_strangers, 9.0, 5)[-1] == 100_000
+
+
+def test_connections_of_callers_that_come_back_are_kept_in_any_crowd(crowded_by_strangers):
+    crowded_by_strangers.callers_seen.extend([1, 2, 3] * 22)
+    assert set(idle_spans(crowded_by_strangers, 12.0, 3) + idle_spans(crowded_by_strangers, 0.0, 9)) == {
+        30 * SECOND
+    }
