Tenants: one within its share of this node goes before one beyond it

Ruled out: classes (nearby and fare alike), place in the hold (oldest first for all). Lines: inbound and read_request dropped the tenant, payoff knew tariffs alone. Change: what was begun here for a tenant in the last 3 s is held against quota / nodes; beyond it a request counts the settings' part of its payoff, in what takes a place at the cap and in calls. It still runs where there is room. Fails where a tenant's callers come to few nodes only. Guards against any one tenant's burst.

--- a/lichencleat/benchlink/wire.py
+++ b/lichencleat/benchlink/wire.py
@@ -55,7 +55,7 @@
 
     def inbound(self, now: int, corr: str, qos: str, *rest: Any) -> None:
         rest += (None,) * (10 - len(rest))
-        place, who, repeat_of, _, subject, marks, cost, left, size, backlog = rest[:10]
+        place, who, repeat_of, org, subject, marks, cost, left, size, backlog = rest[:10]
         if qos not in self.tariffs:
             raise BadInputError(f"inbound {corr!r}: unknown class {qos!r}")
         tariff, arrived = self.tariffs[qos], now - micros(backlog)
@@ -66,6 +66,7 @@
             due=max(due, now),
             place=place or 0.0,
             caller=who or 0,
+            tenant=org or "",
             repeats=self.requests.get(repeat_of) if repeat_of else None,
             repeats_unknown=bool(repeat_of) and repeat_of not in self.requests,
             has_subject=bool(subject),
--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -89,6 +89,7 @@
 IDLE_STEPS = (2 / 3, 8)  # times, at the most in one change: open again gently, shut in two or three
 BESIDE = 1.5  # wanting a core beside runs, per core: reading is one at the most, the rest opens connections
 SHED_FEW = 0.5  # of the last arrivals: with fewer deferred, others may have room, so callers may try them
+SHARE_SPAN = 3  # s over which a tenant's starts are held against its share: a few of the smallest tenant's
 LEAVE_MARGIN = 300_000  # µs before the stop by which all is answered: three wake-ups
 
 
@@ -155,6 +156,8 @@
         # many they are. Harm: for its first second an idle one is told to be able to do less than it is.
         self.ease = min(TOLD_MOST, 1 - self.cold_from)  # share of their load that callers are to keep back
         self.said = -1.0  # the free value that they heard
+        self.shares, self.over_share_payoff = machine.shares, machine.over_share_payoff
+        self.begun_lately: dict[str, float] = {}  # starts of each tenant, less its share of the time since
         self.callers_seen: deque[int] = deque(maxlen=CALLERS_KEPT)
         self.connections_idle = self.said_idle = machine.connections_idle
         self.strangers_idle = float(IDLE_SOON)
@@ -373,7 +376,20 @@
     def payoff(self, request: Request) -> float:
         """For the core time that it takes."""
         own = 0 if self.paid_by_work else self.usual_run(request.tariff)
-        return request.tariff.payoff * (self.usual_run() / own if own else 1)
+        part = self.over_share_payoff if self.over_share(request) else 1.0
+        return request.tariff.payoff * part * (self.usual_run() / own if own else 1)
+
+    def over_share(self, request: Request) -> bool:
+        """What was begun here for its tenant lately is all that its share allows.
+
+        The share is counted over the fleet; this node takes an equal part of it as its own. That fails where
+        a tenant's callers come to few nodes only, which then hold it to less than it has. It decides nothing
+        but which of two requests goes first, so work beyond a share still runs where there is room.
+        """
+        return self.begun_lately.get(request.tenant, 0.0) >= self.share_begun(request)
+
+    def share_begun(self, request: Request) -> float:
+        return max(1.0, self.shares.get(request.tenant, float("inf")) * SHARE_SPAN)
 
     def sends_on(self) -> bool:
         """A caller whose time left is told may try elsewhere, the less often the more is deferred here.
@@ -414,6 +430,8 @@
     def sample(self, now: int) -> None:
         """The design's step, u += Ki (ref - QL), and the running limit's climb."""
         self.next_sample = now + self.period - self.resolution
+        left = {each: n - self.shares[each] * self.period / 1e6 for each, n in self.begun_lately.items()}
+        self.begun_lately = {each: n for each, n in left.items() if n > 0}
         waits = len(self.held)
         wanting = len(self.running) if self.gauges.wanting_core is None else self.gauges.wanting_core
         if wanting > self.cores * CROWDED:
@@ -655,6 +673,9 @@
             if len(self.running) == 1:
                 self.progress_at = self.on_time_at = now
             request.started = now
+            if request.tenant in self.shares:  # what it owes is forgotten within two such spans
+                begun = self.begun_lately.get(request.tenant, 0.0) + 1
+                self.begun_lately[request.tenant] = min(begun, 2 * self.share_begun(request))
             yield Decision(Act.START, request)
 
     def tell(self, now: int) -> Iterator[Decision]:
--- a/lichencleat/machine.py
+++ b/lichencleat/machine.py
@@ -58,6 +58,18 @@
     return table[name]
 
 
+def decode_shares(told: dict) -> dict[str, float]:
+    """Each tenant's share, in requests a second at one of the nodes that there are at this start."""
+    nodes, shares = max(1.0, amount(told, "servers", "settings")), {}
+    for at, each in enumerate(part(told, "orgs", list, "")):
+        where = f"orgs[{at}]"
+        if not isinstance(each, dict) or not isinstance(each.get("name"), str):
+            raise BadInputError(f"{where}: no tenant with its name: {each!r:.60}")
+        if quota := amount(each, "quotaPerS", where):
+            shares[each["name"]] = quota / nodes
+    return shares
+
+
 def decode_machine(told: dict) -> Machine:
     """The machine as the settings tell it; keys that are not known here are passed over."""
     own, rules = part(told, "specifics", dict, ""), part(told, "invariants", dict, "")
@@ -70,6 +82,7 @@
     def number(key: str, of: dict = own, where: str = "specifics") -> float:
         return amount(of, key, where)
 
+    over = told.get("overShareWorth")
     tariffs = []
     for at, each in enumerate(part(told, "classes", list, "")):
         where = f"classes[{at}]"
@@ -113,6 +126,8 @@
         resolution=micros(number("resolution", told, "settings")),
         time_told=bool(own.get("passesDeadline")),
         paid_by_work=told.get("worthBy") == "work",
+        shares=decode_shares(told),
+        over_share_payoff=1.0 if over is None else amount(told, "overShareWorth", "settings"),
         tariffs=tariffs,
     )
 
--- a/lichencleat/net/requests.py
+++ b/lichencleat/net/requests.py
@@ -74,6 +74,7 @@
             due=max(arrived + tariff.hard_limit, now),
             place=float(said[b"p"]),
             caller=int(said[b"f"]),
+            tenant=tenant.decode(errors="replace"),
             further_try=b"r" in said,
             cost=int(cost_ms * 1000),
             size_kb=size_kb,
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -122,6 +122,8 @@
     resolution: int = 0
     time_told: bool = False  # requests tell how long their caller waits
     paid_by_work: bool = False  # the payoff is for each unit of work, not for each request
+    shares: dict[str, float] = field(default_factory=dict)  # of each tenant, requests a second here
+    over_share_payoff: float = 1.0  # share of the payoff earned by a tenant's requests beyond its own
     tariffs: list[Tariff] = field(default_factory=list)
 
 
@@ -132,6 +134,7 @@
     due: int  # by now it must have its answer
     place: float = 0.0
     caller: int = 0
+    tenant: str = ""
     repeats: Request | None = None
     repeats_else: list[Request] = field(default_factory=list)  # other tries of its key whose windows it is in
     repeats_unknown: bool = False  # it repeats one that the host no longer has
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -366,3 +366,50 @@
     assert set(idle_spans(crowded_by_strangers, 12.0, 3) + idle_spans(crowded_by_strangers, 0.0, 9)) == {
         30 * SECOND
     }
+
+
+@pytest.fixture
+def shared_by_tenants(tariff):
+    told = Machine(
+        cores=2, memory_kb=1e6, tariffs=[tariff], shares={"a": 1.0, "b": 1.0}, over_share_payoff=0.05
+    )
+    node = Node(told, random.Random(1))
+    node.begun_lately["b"] = 3.0  # all that its share allows in the span
+    node.running.update((Request(tariff, 0, 9 * SECOND, started=0), None) for _ in range(2))
+    node.cap = 4.0
+    return node
+
+
+def held_then_deferred(node, tariff, tenants):
+    """Arrivals of these tenants in their order: the tenants held at the end, and those deferred."""
+    for tenant in tenants:
+        node.arrives(0, Request(tariff, arrived=0, due=9 * SECOND, tenant=tenant))
+    deferred = [each.request.tenant for each in node.judge_new(0)]
+    return [each.tenant for each in node.held], deferred
+
+
+def test_at_the_cap_a_tenant_within_its_share_goes_before_one_beyond_it(shared_by_tenants, tariff):
+    assert held_then_deferred(shared_by_tenants, tariff, "bba") == (["b", "a"], ["b"])
+
+
+def test_a_tenant_beyond_its_share_is_taken_in_where_there_is_room(shared_by_tenants, tariff):
+    assert held_then_deferred(shared_by_tenants, tariff, "bb") == (["b", "b"], [])
+
+
+def test_a_share_comes_back_with_time_and_is_spent_by_starts_alone(shared_by_tenants, tariff):
+    node, one = shared_by_tenants, Request(tariff, arrived=0, due=9 * SECOND, tenant="b")
+    assert node.over_share(one)
+    for _ in range(2):
+        node.sample(node.next_sample)
+    assert not node.over_share(one)
+    node.held[one] = None
+    node.limit = 3.0
+    assert [each.act for each in node.start_held(SECOND)] == [Act.START]
+    assert node.over_share(one)
+    for _ in range(40):
+        node.sample(node.next_sample)
+    assert not node.begun_lately  # nothing is kept for a tenant that begins nothing
+
+
+def test_a_tenant_without_a_share_is_never_beyond_it(shared_by_tenants, tariff):
+    assert not shared_by_tenants.over_share(Request(tariff, 0, 9 * SECOND, tenant="none"))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,7 @@
 from standins import SETTINGS
 
 from lichencleat.decide import Node
-from lichencleat.machine import BadInputError
+from lichencleat.machine import BadInputError, decode_machine
 from lichencleat.net.config import read_told
 from lichencleat.terms import Gauges, Request
 
@@ -40,7 +40,13 @@
     "seed": 2**70,
     "stop_ms": 1000,
     "limits": {"cores": 1.0, "memory_mb": 96, "sockets": 256},
-    "settings": {**SETTINGS, "orgs": [{"name": "a"}], "specifics": {**SETTINGS["specifics"], **MORE}},
+    "settings": {
+        **SETTINGS,
+        "orgs": [{"name": "a", "quotaPerS": 12.0, "portion": 1.0}],
+        "servers": 6,
+        "overShareWorth": 0.05,
+        "specifics": {**SETTINGS["specifics"], **MORE},
+    },
 }
 
 
@@ -55,7 +61,7 @@
     node, now = Node(told.machine, random.Random(1)), 1_000_000_000
     for _ in range(3):
         tariff = told.machine.tariffs[0]
-        node.arrives(now, Request(tariff, now, now + tariff.hard_limit, size_kb=20.0))
+        node.arrives(now, Request(tariff, now, now + tariff.hard_limit, size_kb=20.0, tenant="a"))
         node.wakes(now, Gauges())
         while node.next_decision(now) is not None:
             pass
@@ -85,3 +91,13 @@
     config.write_text(json.dumps(TOLD))
     read = read_told({"BALANCER_CONFIG": str(config)})
     assert read.seed == str(2**70) and read.memory == 96 << 20 and read.machine.callers == 5
+
+
+def test_a_tenant_s_share_is_this_node_s_equal_part_of_it():
+    machine = decode_machine(TOLD["settings"])
+    assert machine.shares == {"a": 2.0} and machine.over_share_payoff == 0.05
+    bare = copy.deepcopy(TOLD)
+    for key in ("servers", "overShareWorth", "orgs"):
+        del bare["settings"][key]
+    machine = decode_machine(bare["settings"])
+    assert machine.shares == {} and machine.over_share_payoff == 1.0
