Health: stays good while connections crowd the cores of a node

Lines: sample, healthy: both conditions hold at once on all nodes under a crowd of attempts, and those off send it to the rest. Guards against any trouble that strikes all nodes as a crowd of attempts; harm: a node struck alone stays in the list meanwhile.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -162,6 +162,7 @@
         self.connections_idle = self.said_idle = machine.connections_idle
         self.strangers_idle = float(IDLE_SOON)
         self.idle_next = self.beside = self.beside_samples = 0
+        self.crowded_beside = False  # runs, over the last such period
 
     # --- inputs: they only update what is known ---
 
@@ -454,7 +455,10 @@
         self.deferred_lately = 0
         self.judge_connections(now, wanting)
         drowned = self.read_time(now) > self.longest_soft_limit * DROWNED  # its answers come too late
-        self.healthy = self.leaves_at is None and not drowned and not self.sick(now)
+        # Guards the fleet: a crowd of attempts strikes all nodes alike, and those that leave the list send it
+        # to the rest. Harm: a node struck alone stays in the list while connections take its cores.
+        alone = not self.crowded_beside and (drowned or self.sick(now))
+        self.healthy = self.leaves_at is None and not alone
         self.to_stop.update((each, None) for each in self.running if each.answered)  # a hang ignores it
         self.receipts = {each: until for each, until in self.receipts.items() if until > now}
 
@@ -471,6 +475,7 @@
         if now < self.idle_next:
             return
         over = self.beside / self.beside_samples / self.cores - BESIDE
+        self.crowded_beside = over > 0
         least, most = IDLE_STEPS
         span = self.strangers_idle * min(most, max(least, exp(min(most, IDLE_GAIN * over))))
         self.strangers_idle = max(IDLE_SOON, min(span, self.connections_idle))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lichencleat.decide import GAIN, Node
+from lichencleat.decide import BESIDE, GAIN, Node
 from lichencleat.terms import Act, Below, Effect, Gauges, Machine, Outcome, Request, State, Tariff
 
 SECOND = 1_000_000
@@ -413,3 +413,20 @@
 
 def test_a_tenant_without_a_share_is_never_beyond_it(shared_by_tenants, tariff):
     assert not shared_by_tenants.over_share(Request(tariff, 0, 9 * SECOND, tenant="none"))
+
+
+@pytest.mark.parametrize("wanting", [3.0, 12.0])
+def test_health_goes_off_for_late_reading_but_not_while_connections_take_the_cores(
+    crowded_by_strangers, wanting
+):
+    node = crowded_by_strangers
+    node.longest_soft_limit = 2 * SECOND
+    for _ in range(11):
+        now = node.next_sample + 100_000
+        node.read_times.extend([(now, SECOND + 1)] * 16)
+        node.gauges = Gauges(busy=1.0, wanting_core=wanting)
+        node.sample(now)
+    assert node.healthy is (wanting > 2 * BESIDE)
+    node.leaves_at = now
+    node.sample(node.next_sample)
+    assert not node.healthy
