Connections: kept from the start where the callers told are few

Change: 32 callers or fewer in the settings are as good as known; 0 where it is not told, as before. Their connections are fewer than the arrivals by which others are judged. Guards against handshakes after any start; harm: connections of callers that never come again stay for the callers' own idle time, at most 32.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -102,7 +102,8 @@
         self.cold_from = machine.cold_share if machine.cold else 1.0
         self.warm_after = machine.warm_after if machine.cold else 0
         self.can_stop, self.paid_by_work = machine.halt is not Halt.NONE, machine.paid_by_work
-        self.told, self.callers, self.advice_most = machine.told, machine.callers, machine.advice_most
+        self.told, self.callers, self.advice_most = machine.told, max(1, machine.callers), machine.advice_most
+        self.few_callers = 0 < machine.callers <= CALLERS_BACK * CALLERS_KEPT
         shared = machine.below is Below.SHARED and machine.calls_share > 0
         self.calls_ceiling = machine.calls_share * CALLS_PART if shared else float("inf")
         self.calls_most = min(self.calls_ceiling, float(machine.cores))
@@ -700,12 +701,16 @@
             yield Decision(Act.WAKE, span=self.period)
 
     def idle_after(self) -> int:
-        """Connections are kept for callers known to come back; each of a stranger mostly takes room in vain.
+        """Connections are kept for callers known to come back, or so few that they will be.
+
+        Each of a stranger mostly takes room in vain.
 
         Guards against a table full of idle connections, which also slows the node. Harm: handshakes.
         """
-        known = len(self.callers_seen) - len(set(self.callers_seen)) >= CALLERS_BACK * CALLERS_KEPT
-        return self.connections_idle if known else int(min(self.strangers_idle, self.connections_idle))
+        back = len(self.callers_seen) - len(set(self.callers_seen))
+        if self.few_callers or back >= CALLERS_BACK * CALLERS_KEPT:
+            return self.connections_idle
+        return int(min(self.strangers_idle, self.connections_idle))
 
     def free_value(self, now: int) -> float | None:
         if self.told is Told.LEVEL:
--- a/lichencleat/machine.py
+++ b/lichencleat/machine.py
@@ -114,7 +114,7 @@
         warm_after=micros(number("cold", rules, "invariants")),
         halt=choose(HALTS, own.get("halt"), Halt.NONE, "specifics.halt"),
         told=choose(TOLD, own.get("advert"), Told.NOTHING, "specifics.advert"),
-        callers=int(number("callers")) or 1,
+        callers=int(number("callers")),
         advice_most=micros(number("maxRetryAfter", allowed, "allowed")),
         below=choose(BELOW, own.get("below"), Below.NOTHING, "specifics.below"),
         calls_share=number("callsOut"),
--- a/lichencleat/terms.py
+++ b/lichencleat/terms.py
@@ -110,7 +110,7 @@
     warm_after: int = 0
     halt: Halt = Halt.NONE
     told: Told = Told.NOTHING
-    callers: int = 1
+    callers: int = 0  # that there are at its start, 0 where not told
     advice_most: int = 0  # 0 where advice goes unheard
     below: Below = Below.NOTHING
     calls_share: float = 0.0  # this node's part of the calls that the dependency survives
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -430,3 +430,9 @@
     node.leaves_at = now
     node.sample(node.next_sample)
     assert not node.healthy
+
+
+@pytest.mark.parametrize(("callers", "kept"), [(0, False), (3, True), (32, True), (33, False)])
+def test_connections_are_kept_from_the_start_where_the_callers_told_are_few(callers, kept):
+    node = Node(Machine(connections_idle=30 * SECOND, callers=callers), random.Random(1))
+    assert (node.idle_after() == 30 * SECOND) is kept
