Repeats: one read when its time is up is answered at once

Ruled out: the run itself (ended), memory, a late wake-up (it came). Change: what is due before the next look is failed before it is held: never deferred, as a try of its key may have run. It can't come back: of arrivals, repeats were the only ones held without that check. Three tests fail without it. No other trouble is guarded by it; harm: none, the answer could not be in time.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -518,7 +518,11 @@
                 # Guards the memory against a storm of repeats that wait for one run. Harm: they are not told
                 # how it ends, and may ask again. One whose first try is over is answered in this round.
                 first = request.repeats
-                if (first and first.state is State.ENDED) or self.used_kb() <= self.memory_kb:
+                if (
+                    request.due <= now + self.guard
+                ):  # nothing looks at it again in time, and a share takes work
+                    yield self.give_up(request)
+                elif (first and first.state is State.ENDED) or self.used_kb() <= self.memory_kb:
                     self.move(request, self.held, State.HELD)
                 elif first and first.started is None:
                     yield self.defer(now, request)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -436,3 +436,19 @@
 def test_connections_are_kept_from_the_start_where_the_callers_told_are_few(callers, kept):
     node = Node(Machine(connections_idle=30 * SECOND, callers=callers), random.Random(1))
     assert (node.idle_after() == 30 * SECOND) is kept
+
+
+@pytest.mark.parametrize("state", [State.HELD, State.RUNNING, State.ENDED])
+def test_a_repeat_read_when_its_time_is_up_is_answered_at_once(node, receipted, state):
+    """Waiting for the try that it repeats, or for its outcome, it would miss the next look by a period."""
+    first = Request(receipted, arrived=0, due=5 * SECOND, started=None if state is State.HELD else 0)
+    first.state, first.succeeded = state, state is State.ENDED
+    if state is not State.ENDED:
+        (node.held if state is State.HELD else node.running)[first] = None
+    late = Request(receipted, arrived=0, due=3 * SECOND, repeats=first)
+    node.arrives(3 * SECOND, late)
+    decisions = []
+    while (decision := node.next_decision(3 * SECOND)) is not None:
+        decisions.append((decision.act, decision.request))
+    assert [act for act, request in decisions if request is late] == [Act.GIVE_UP]
+    assert late.state is State.ENDED
