--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -516,11 +516,10 @@
                 request.due = min(request.due, self.leaves_at + self.guard)
             if request.repeats or request.repeats_unknown:
                 # Guards the memory against a storm of repeats that wait for one run. Harm: they are not told
-                # how it ends, and may ask again. One whose first try is over is answered in this round.
+                # how it ends, and may ask again. One whose first try is over is answered in this round, and
+                # at once where it is due before the next look: sharing takes work, too.
                 first = request.repeats
-                if (
-                    request.due <= now + self.guard
-                ):  # nothing looks at it again in time, and a share takes work
+                if request.due <= now + self.guard:
                     yield self.give_up(request)
                 elif (first and first.state is State.ENDED) or self.used_kb() <= self.memory_kb:
                     self.move(request, self.held, State.HELD)
@@ -707,8 +706,6 @@
     def idle_after(self) -> int:
         """Connections are kept for callers known to come back, or so few that they will be.
 
-        Each of a stranger mostly takes room in vain.
-
         Guards against a table full of idle connections, which also slows the node. Harm: handshakes.
         """
         back = len(self.callers_seen) - len(set(self.callers_seen))
