Connections: callers that are few are not counted in each round; no behaviour

Need: read once more, idle_after counted the callers seen in every round also where the settings had settled it. Change: that is asked first.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -708,8 +708,8 @@
 
         Guards against a table full of idle connections, which also slows the node. Harm: handshakes.
         """
-        back = len(self.callers_seen) - len(set(self.callers_seen))
-        if self.few_callers or back >= CALLERS_BACK * CALLERS_KEPT:
+        seen = self.callers_seen
+        if self.few_callers or len(seen) - len(set(seen)) >= CALLERS_BACK * CALLERS_KEPT:
             return self.connections_idle
         return int(min(self.strangers_idle, self.connections_idle))
 
