Interpreter link: a banner that comes again on a link is passed over

Saw: tests/test_bad_input.py::test_what_the_interpreter_spoils...[9] failed in 2 of 6 runs of its file here: the interpreter got a second APPLY where RESOLVE was due. Checked: the stand-in sends one banner after the greeting and nothing else; no link was lost in the failed runs. Lines at fault: Interpreter.banner took any banner as an answer to CONNECT, so it asked for the sync gauges and then renew() said again what no notice had confirmed, on a link that had lost nothing; it also told the decisions that the interpreter had begun anew (cold for a while). Whether the test saw it hung on APPLY being written before or after the sync's answer.

Change: a link is greeted once; a readable banner after that is counted (banners come again) and passed over. One that can't be read renews the link as before.

Measured: the new test forces the crossing (command written between banner and sync), 2 failed without the mend, 33 of the file passed with it.

--- a/lichencleat/net/interpreter.py
+++ b/lichencleat/net/interpreter.py
@@ -77,6 +77,7 @@
         self.interpreter = interpreter
         self.reader = LineReader(lambda words: len(words) == CARRIES_BODY.get(words[0] if words else b""))
         self.made_at = interpreter.deadlines.now()
+        self.greeted = False  # its banner came: it is the answer to CONNECT, so there is one
         self.ready = False  # all notices that the last link may have missed were read
         self.gauges: dict[bytes, Deferred] = {}
 
@@ -317,7 +318,11 @@
             self.report.trouble(f"the notice {kind[:16]!r}")
 
     def banner(self, link: Link, words: list[bytes]) -> None:
-        """Guards the start against a banner that can't be read: without one, no command would ever go out."""
+        """Guards the start against a banner that can't be read: without one, no command would ever go out.
+
+        One that comes again was spoilt on the way or belongs to nothing: a link that was greeted lost nothing,
+        so nothing is said again for it, and when the interpreter started is known.
+        """
         try:
             state, age = words[1], micros(words[2])
             if state not in STATES:
@@ -326,6 +331,10 @@
             self.report.count("interpreter", "banners unreadable")
             self.deadlines.after(AGAIN, link.transport.abortConnection)
             raise
+        if link.greeted:
+            self.report.count("interpreter", "banners come again")
+            return
+        link.greeted = True
         self.report.note(f"interpreter: {state.decode()}, up for {age // 1000} ms")
         self.report.count("interpreter", "banners")
         link.ask_gauges(b"sync").addCallback(lambda got: got is not None and self.renew(link))
--- a/tests/net/test_interpreter_link.py
+++ b/tests/net/test_interpreter_link.py
@@ -79,6 +79,20 @@
     assert not report.counts["node errors"]
 
 
+@pytest.mark.parametrize("pure", [True, False])
+def test_a_second_banner_on_a_link_says_nothing_again_and_starts_nothing_anew(link, run, report, pure):
+    made, heard = run
+    began, link.ready, link.interpreter.began = [], False, lambda age: began.append(age)
+    link.dataReceived(b"BANNER LOADED 5000\r\nTOPS sync 0.2 1 0.1 3\r\n")
+    link.interpreter.apply(made, b"look", b"x", pure)
+    link.transport.clear()
+    link.dataReceived(b"BANNER EMPTY 5\r\nTOPS sync 0.2 1 0.1 3\r\n")  # before any notice of the run
+    assert link.transport.value() == b"" and began == [5_000_000] and not link.transport.aborted
+    assert report.counts["interpreter banners come again"] == report.counts["interpreter banners"] == 1
+    link.dataReceived(b"VALUE 1 %s PASS 5 1\r\nx\r\n" % ID)
+    assert heard == [(Outcome.COMPLETED, 5000, b"x")]
+
+
 def test_gauges_that_are_no_figures_do_not_reach_the_decisions(link, report):
     asked = link.ask_gauges(b"g1")
     link.dataReceived(b"TOPS g1 nan 1 1 1\r\n")
