--- /dev/null
+++ b/lichencleat/lab/rig/older_voter.py
@@ -0,0 +1,32 @@
+"""A voter as of a version that knows fewer parts: `python -m lichencleat.lab.rig.older_voter PARTS quorum run
+FILE`; PARTS are those that it does not know, with commas between.
+
+It says which it knows, as each version from landing 6 on does.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from lichencleat.cli.main import run
+from lichencleat.quorum import program
+from lichencleat.quorum.state import Part
+
+
+def without(names: set[str]) -> None:
+    known = program.parts
+
+    def parts() -> dict[str, Part]:
+        return {name: part for name, part in known().items() if name not in names}
+
+    program.parts = parts
+
+
+def main() -> int:
+    missing, *words = sys.argv[1:]
+    without(set(missing.split(",")))
+    return run(words)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lichencleat/lab/rig/rig.py
+++ b/lichencleat/lab/rig/rig.py
@@ -25,6 +25,7 @@
 from lichencleat.quorum.client import Client, GroupError
 from lichencleat.quorum.facts import Changed, Fact
 
+OLDER = "lichencleat.lab.rig.older_voter"
 PATIENCE = 10.0  # s: only a failing test waits so long
 FAST = {"beat_ms": 30, "election_ms": 180, "spread_ms": 180, "transfer_ms": 400}
 GROUP = "rig"
@@ -106,6 +107,7 @@
         self.file = rig.path / f"{name}.yaml"
         self.log = rig.path / f"{name}.log"
         self.running: subprocess.Popen | None = None
+        self.lacks: tuple[str, ...] = ()  # parts that it does not know from its next start on
         self.chosen = {
             "group": GROUP,
             "name": name,
@@ -128,8 +130,10 @@
     def start(self) -> None:
         self.write_file()
         with open(self.log, "ab") as log:
-            words = ["quorum", "run", str(self.file)]
-            self.running = self.rig.program(words, stderr=log, env=self.rig.variables(self.name))
+            words, more = ["quorum", "run", str(self.file)], {"stderr": log}
+            if self.lacks:
+                words, more["module"] = [",".join(self.lacks), *words], OLDER
+            self.running = self.rig.program(words, env=self.rig.variables(self.name), **more)
 
     def fill_disk(self) -> None:
         """Nothing more goes onto its disk until `empty_disk`."""
@@ -164,9 +168,9 @@
             name = f"v{number}"
             self.voters[name] = Voter(self, name, disk)
 
-    def program(self, words: list[str], **more: Any) -> subprocess.Popen:
+    def program(self, words: list[str], module: str = "lichencleat", **more: Any) -> subprocess.Popen:
         root = Path(__file__).resolve().parents[3]
-        child = subprocess.Popen([sys.executable, "-m", "lichencleat", *words], cwd=root, **more)
+        child = subprocess.Popen([sys.executable, "-m", module, *words], cwd=root, **more)
         self.children.append(child)
         return child
 
--- /dev/null
+++ b/lichencleat/quorum/parts.py
@@ -0,0 +1,57 @@
+"""Which parts of the state the members' programs know, and when one may be decided on; no I/O.
+
+A member that does not know a part passes its commands over, and what it writes down lacks them: started later
+as a version that knows the part, it would hold another state than the others and not notice. So a leader lets
+the first command of a part in only once every member has said that it knows it; and writes into the log that
+the part is used from then on, which stops a member that is put back to a version without it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lichencleat.quorum.terms import Group
+
+USES = "parts"  # under this name a leader writes which part is used from then on
+# what a version knew that does not say so yet
+BEFORE = frozenset(["facts", "owners", "shares", "revive", "zones", "distribution"])
+TOLD_MOST = 2_048  # members whose word is kept: twice what a leader has connections for
+NAMED_MOST = 3  # members named in a refusal: a line an operator reads
+
+
+class UnknownPartError(Exception):
+    """The group decides on something that this program does not know."""
+
+    def __init__(self, names: Iterable[str]) -> None:
+        which = ", ".join(sorted(names))
+        super().__init__(f"the group decides on {which}, which this version does not know: start a newer one")
+
+
+class Known:
+    """What each member has said since this process began; the last word counts."""
+
+    def __init__(self, own: Iterable[str]) -> None:
+        self.own = frozenset(own)
+        self.said = tuple(sorted(self.own))  # as greetings tell it
+        self.told: dict[int, frozenset[str]] = {}
+
+    def tells(self, seat: int, parts: Iterable[str] | None) -> None:
+        """`parts`: None from a version that does not say."""
+        self.told.pop(seat, None)
+        self.told[seat] = BEFORE if parts is None else frozenset(parts)
+        if len(self.told) > TOLD_MOST:
+            del self.told[next(iter(self.told))]
+
+    def objection(self, part: str, group: Group, seat: int) -> str | None:
+        """Why the member in `seat` can't decide on the part as the group's leader; None where it can."""
+        if part not in self.own:
+            return f"the leader is of a version that does not know {part!r}"
+        lacking = [
+            each.name
+            for each in group.members
+            if each.seat != seat and part not in self.told.get(each.seat, frozenset())
+        ]
+        if not lacking:
+            return None
+        more = f" and {len(lacking) - NAMED_MOST} more" if len(lacking) > NAMED_MOST else ""
+        return f"not all members have said that they know {part!r}: {', '.join(lacking[:NAMED_MOST])}{more}"
--- a/lichencleat/quorum/process.py
+++ b/lichencleat/quorum/process.py
@@ -20,11 +20,12 @@
 from lichencleat.quorum.journal import Journal
 from lichencleat.quorum.links import Called, Door, Out
 from lichencleat.quorum.member import Role
+from lichencleat.quorum.parts import USES, Known, UnknownPartError
 from lichencleat.quorum.saves import Saves
 from lichencleat.quorum.seats import IDENTITY, Identity, Life, Seats, Welcome
 from lichencleat.quorum.serves import Guarded, Log, Serves
 from lichencleat.quorum.sessions import Verdict
-from lichencleat.quorum.state import Part, State, command
+from lichencleat.quorum.state import Part, State, command, decode_command
 from lichencleat.quorum.terms import Act, Decision, Group, Kind, Member, Message, Reason, Times
 from lichencleat.quorum.voter import Voter
 from lichencleat.quorum.wire import (
@@ -84,14 +85,13 @@
         self.parts, self.tend, self.zone = parts, tend, zone
         self.serves = Guarded(serves, log)
         self.state = State(parts())
+        self.known = Known(self.state.parts)
         self.journal = Journal()
         get = store.engine.get
         durable = self.journal.load(get)
         self.saves = Saves(store, self.journal, self.saved, self.disk_failed)
         self.voter = Voter(identity.seat, durable, times or Times(), rng, self.now())
-        known = {}
-        for key, data in store.scan(LIFE):
-            known[int.from_bytes(key[1:], "big")] = decode_life(data)
+        known = {int.from_bytes(key[1:], "big"): decode_life(data) for key, data in store.scan(LIFE)}
         life = Life(identity.start, rng.getrandbits(48))
         self.seats = Seats(identity.group, identity.seat, life, known)
         self.begun = self.now()
@@ -140,7 +140,8 @@
 
     def greeting(self, to: int) -> Greeting:
         who = self.identity
-        return Greeting(FORMAT, self.seats.group, who.name, who.seat, to, self.seats.life, who.member)
+        said = who.member, self.known.said
+        return Greeting(FORMAT, self.seats.group, who.name, who.seat, to, self.seats.life, *said)
 
     def greeted(self, seat: int, answer: Greeted) -> bool:
         """Another member's answer to this one's greeting. May messages go to it?"""
@@ -152,6 +153,7 @@
         if welcome is not Welcome.COME:
             self.log.warning("turned away", by=answer.member, reason=welcome.name.lower().replace("_", " "))
             return False
+        self.known.tells(answer.seat, answer.parts)
         return answer.seat == seat
 
     def called(self, link: Called, greeting: Greeting) -> None:
@@ -170,6 +172,7 @@
             )
             self.welcome(link, welcome)
             return
+        self.known.tells(greeting.seat, greeting.parts)
         batch = Batch()
         if news:
             batch.put(life_key(greeting.seat), msgspec.msgpack.encode(greeting.life))
@@ -188,7 +191,8 @@
         link.welcome = welcome is Welcome.COME
         if link.welcome and link.greeting is not None and link.greeting.seat:
             self.callers[link.greeting.seat] = link
-        link.send(Greeted(welcome, self.seats.group, who.seat, who.member, self.seats.life))
+        said = who.member, self.seats.life, self.known.said
+        link.send(Greeted(welcome, self.seats.group, who.seat, *said))
 
     def disk_failed(self, failure: Any) -> None:
         if not self.ending:
@@ -233,6 +237,9 @@
         try:
             while not self.ending and (decision := self.voter.next_decision()) is not None:
                 self.carry_out(decision)
+        except UnknownPartError as wrong:
+            self.log.warning("leaves", reason=str(wrong))
+            self.end(3)
         except Exception:
             # a state that is applied in half must not be told to anyone: it is read anew at a start
             self.log.warning("error", trace=traceback.format_exc(limit=-3).replace("\n", " | "))
@@ -337,11 +344,22 @@
         # look
         leads = self.role is Role.LEADER
         for part, what in self.tend(self.state if leads else None, self.now()):
-            self.voter.propose(self.now(), None, command(part, what))
-            self.stir()
+            if self.objection(part) is None:
+                self.voter.propose(self.now(), None, command(part, what))
+                self.stir()
         if self.role is Role.LEADER:
             self.tending = self.reactor.callLater(TEND, self.look_after)
 
+    def objection(self, part: str) -> str | None:
+        """Why nothing can be decided on that part now. Where it can, the log says that it is used."""
+        if part in self.state.used or self.voter.lead is None:
+            return None
+        why = self.known.objection(part, self.voter.entries.group, self.voter.seat)
+        if why is not None and not self.state.decided_on(part, self.parts()):
+            return why
+        self.voter.propose(self.now(), None, command(USES, [part]))
+        return None
+
     # -- clients -------------------------------------------------------------------------------------
 
     def mark(self) -> bytes:
@@ -365,7 +383,7 @@
                     done and what is Verdict.DONE,
                     msgspec.Raw(result)
                     if result
-                    else raw(what.value if isinstance(what, Reason) else what.name),
+                    else raw(what.value if isinstance(what, Reason) else getattr(what, "name", what)),
                     leader.seat if leader else 0,
                     leader.host if leader else "",
                     leader.port if leader else 0,
@@ -396,7 +414,10 @@
             voter.propose_session(now, ticket)
         elif request.what == "propose":
             proposal = decode_proposal(content)
-            voter.propose(now, ticket, proposal.data, proposal.session, proposal.number)
+            if (objection := self.objection(decode_command(proposal.data)[0])) is not None:
+                answer(False, objection)
+            else:
+                voter.propose(now, ticket, proposal.data, proposal.session, proposal.number)
         elif request.what == "read":
             voter.read(now, (decode_read(content), answer))
         elif request.what == "add":
@@ -425,6 +446,7 @@
             "start": self.identity.start,
             "zone": self.zone,
             "parts": sorted(self.state.parts),
+            "used": sorted(self.state.used),
             "role": voter.role.name.lower() if self.takes_part else "waits",
             "term": voter.term,
             "leader": voter.leader,
--- a/lichencleat/quorum/state.py
+++ b/lichencleat/quorum/state.py
@@ -11,12 +11,14 @@
 import msgspec
 
 from lichencleat.decoding import UNDECODABLE
+from lichencleat.quorum.parts import USES, UnknownPartError
 from lichencleat.quorum.sessions import Held, Sessions, Verdict
 from lichencleat.quorum.terms import Entry, Group, Snapshot, What
 
 encode = msgspec.msgpack.encode
 Command = tuple[str, msgspec.Raw]  # the part's name, and what is its own
 decode_command = msgspec.msgpack.Decoder(Command).decode
+decode_used = msgspec.msgpack.Decoder(list[str]).decode
 
 
 class Part(Protocol):
@@ -38,6 +40,7 @@
 class Dumped(msgspec.Struct, array_like=True):
     sessions: list[tuple[int, Held]]
     parts: dict[str, msgspec.Raw]
+    used: list[str] = []
 
 
 decode_dumped = msgspec.msgpack.Decoder(Dumped).decode
@@ -52,9 +55,10 @@
         self.parts = parts
         self.sessions = Sessions()
         self.applied = 0  # index of the last entry
+        self.used: set[str] = set()  # parts that the log says are used
 
     def apply(self, index: int, entry: Entry) -> tuple[Verdict, bytes]:
-        """The entry that follows the last one. The result's meaning is the part's."""
+        """The entry after the last one. The result's meaning is the part's. Raises UnknownPartError."""
         assert index == self.applied + 1, f"entry {index} after {self.applied}"
         self.applied = index
         if entry.what == What.SESSION:
@@ -66,32 +70,49 @@
             return self.sessions.take(
                 index, entry.session, entry.number, lambda: self.give(index, entry.data)
             )
-        return Verdict.DONE, self.give(index, entry.data)
+        return Verdict.DONE, self.give(index, entry.data, own=True)
 
-    def give(self, index: int, data: bytes) -> bytes:
+    def give(self, index: int, data: bytes, own: bool = False) -> bytes:
         """Guards the log against an entry that no part knows: it stays there for ever, and must change
-        nothing.
+        nothing. `own`: of a leader itself; only such a one tells what is used.
         """
         try:
             name, what = decode_command(data)
+            if name == USES and own:
+                self.uses(decode_used(what))
+                return encode(None)
         except UNDECODABLE:
             return encode(None)
         part = self.parts.get(name)
         return encode(part.apply(index, what) if part is not None else None)
 
+    def uses(self, names: list[str]) -> None:
+        unknown = set(names) - self.parts.keys()
+        if unknown:
+            raise UnknownPartError(unknown)
+        self.used.update(names)
+
+    def decided_on(self, part: str, fresh: dict[str, Part]) -> bool:
+        """Does it hold anything of the part already? As where its commands came in before that was written.
+
+        `fresh`: parts as they begin.
+        """
+        return part in self.parts and encode(self.parts[part].dump()) != encode(fresh[part].dump())
+
     def read(self, part: str, query: Any) -> Any:
         return self.parts[part].read(query) if part in self.parts else None
 
     def dump(self) -> bytes:
         parts = {name: msgspec.Raw(encode(each.dump())) for name, each in self.parts.items()}
-        return encode(Dumped(self.sessions.dump(), parts))
+        return encode(Dumped(self.sessions.dump(), parts, sorted(self.used)))
 
     def restore(self, snapshot: Snapshot) -> None:
-        """Raises msgspec.MsgspecError where the snapshot is not one of this state."""
+        """Raises msgspec.MsgspecError where the snapshot is not one of this state, UnknownPartError."""
         self.applied = snapshot.index
         if not snapshot.data:
             return
         dumped = decode_dumped(snapshot.data)
+        self.uses(dumped.used)
         self.sessions.load(dumped.sessions)
         for name, part in self.parts.items():
             if name in dumped.parts:
--- a/lichencleat/quorum/wire.py
+++ b/lichencleat/quorum/wire.py
@@ -27,6 +27,7 @@
     to: int  # the seat that is called, 0 where it is not known
     life: Life
     member: str = ""  # its name in the group
+    parts: tuple[str, ...] | None = None  # what its program can decide on; a version before this says none
 
 
 class Greeted(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -35,6 +36,7 @@
     seat: int
     member: str
     life: Life
+    parts: tuple[str, ...] | None = None  # as in Greeting
 
 
 class Carried(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/tests/fleet/revive.py
+++ b/tests/fleet/revive.py
@@ -4,7 +4,8 @@
 outlive the cut, callers that ask again and again. Power goes for all, a zone, all twice; links are cut while
 they return. Judged: no receipted request runs twice on a node, nothing is honoured that no run made, nothing
 is answered twice, the dependency never has more than its limit; and every node is open again, or the fleet
-says what it waits for. Some wake with a wrong clock, an empty disk, a copy of theirs, or as an older version.
+says what it waits for. Some wake with a wrong clock, an empty disk, a copy of theirs, or as an older version;
+voters that do stop by themselves and are put up later.
 """
 
 from __future__ import annotations
@@ -69,6 +70,26 @@
     return "", []
 
 
+def older_voters(fleet: Fleet, lost: list[str], rng: random.Random) -> tuple[str, list]:
+    """Some of them return as a version that knows of no fleet's return: each stops by itself. What puts them
+    up again.
+    """
+    if not lost or rng.random() < 0.7:
+        return "", []
+    older = rng.sample(lost, rng.randint(1, min(2, len(lost))))  # three would never hear what is committed
+    for name in older:
+        fleet.rig.voters[name].lacks = ("revive", "zones")
+
+    def put_up() -> None:
+        for name in older:
+            voter = fleet.rig.voters[name]
+            assert voter.ended() == 3, f"{name} goes on as an older version"
+            voter.lacks = ()
+            voter.start()
+
+    return f", {', '.join(older)} as an older version", [put_up]
+
+
 def play(fleet: Fleet, rng: random.Random, ran: Ran) -> None:
     everyone, voters = list(fleet.nodes), list(fleet.rig.voters)
     fleet.work()
@@ -88,7 +109,9 @@
         time.sleep(rng.uniform(0, 0.6))
         fleet.cut(nodes, lost)
         more, undo = hurts(fleet, nodes, rng) if nodes else ("", [])
-        ran.cuts[-1] += more
+        older, put_up = older_voters(fleet, lost, rng)
+        ran.cuts[-1] += more + older
+        undo += put_up
         pairs = set()
         if rng.random() < 0.3:  # one node hears nobody while the others return
             name = rng.choice(everyone)
