Return: a node recalls how long its runs took, so the plan opens quick nodes first

Seen: planner.turns orders nodes by the speed that they report, but host.speed() says 1 until a run has ended, and a shut node runs nothing: after a power loss all reported 1, so the first wave went by name.

Change: revive/figures.py, kept in the node's store with each sign of life (format, cores, usual run of each class); at the start told to the decisions as one first guess each (Node.ran_before, outweighed by three runs), from its own checked disk alone.

--- a/lichencleat/decide.py
+++ b/lichencleat/decide.py
@@ -188,6 +188,12 @@
         if not request.answered and outcome is Outcome.STOPPED:
             self.move(request, self.held, State.HELD)
 
+    def ran_before(self, now: int, tariff: Tariff, took: int) -> None:
+        """The usual time in the node's life before: a first guess, if none has run in this one."""
+        if not self.run_times.setdefault(tariff, deque(maxlen=RUNS_KEPT)):
+            self.run_times[tariff].append(took)
+            self.usual_runs.clear()
+
     def outcome_waits(self, now: int, request: Request, took: int) -> None:
         """It has run, and its outcome is being recorded: it holds no core, and `run_ended` follows."""
         self.run_times.setdefault(request.tariff, deque(maxlen=RUNS_KEPT)).append(took)
--- a/lichencleat/net/fleet.py
+++ b/lichencleat/net/fleet.py
@@ -83,12 +83,13 @@
         life = self.rng.getrandbits(48)
         waking = Waking(self.name, self.chosen.zone, life, False, 0, Clock.PLAUSIBLE, self.now())
         waking.wants_proof = keyed is not None
-        if keyed is not None:
-            keyed.opened.append(record.opened)
-            keyed.signs.append(record.sign)
         host.may_serve(0.0, False)  # until there is a word, or a reason to go on without
         proof = (lambda: keyed.book.stands) if keyed is not None else (lambda: False)
-        return Return(self.reactor, self.client(), host, waking, record, proof, unix, self.log)
+        back = Return(self.reactor, self.client(), host, waking, record, proof, unix, self.log)
+        if keyed is not None:
+            keyed.opened += [record.opened, back.learned.opened]
+            keyed.signs += [record.sign, back.learned.sign]
+        return back
 
     def make_holder(self) -> Holder:
         works: list[Any] = []
--- a/lichencleat/revive/seat.py
+++ b/lichencleat/revive/seat.py
@@ -8,9 +8,11 @@
 import msgspec
 from twisted.python.failure import Failure
 
+from lichencleat.decide import RUNS_FEW
 from lichencleat.owners.holder import Holder
 from lichencleat.quorum.client import Client
 from lichencleat.revive import boot as boots
+from lichencleat.revive import figures
 from lichencleat.revive.planner import Planner
 from lichencleat.revive.terms import JOB, Leave, Node, Plan, Word
 from lichencleat.revive.waking import Waking
@@ -20,7 +22,7 @@
 LOOK = 0.1  # s between looks at what may be served
 PATIENCE = 1.0  # s for the answer to a report
 PLAN = 0.3  # s between the owner's looks
-BOOT = b"b"  # key of the boot record in the node's store
+BOOT, FIGURES = b"b", b"f"  # keys in the node's store: of the boot record, of what it learned
 
 
 class Record:
@@ -48,6 +50,37 @@
         )
 
 
+class Learned:
+    """What the node learned of its speed, kept in the same store. Tells the host of the life before, once."""
+
+    def __init__(self, host: Any, log: Any) -> None:
+        self.host, self.log = host, log
+        self.before: dict[str, int] = {}
+        self.to_tell = False
+
+    def opened(self, get: Callable[[bytes], bytes | None]) -> None:
+        machine = self.host.machine
+        longest = {each.name: each.hard_limit for each in machine.tariffs}
+        self.before, why = figures.recalled(get(FIGURES), machine.cores, longest)
+        self.to_tell = bool(self.before)
+        if self.before or why:
+            runs = ", ".join(f"{name} {took / 1000:.1f} ms" for name, took in self.before.items())
+            self.log.info("recalls", runs=runs or "nothing", reason=why or "of its life before")
+
+    def sign(self, ends: bool) -> tuple[bytes, bytes]:
+        node = self.host.node
+        known = node.run_times.items() if node is not None else ()
+        now = {each.name: int(node.usual_run(each)) for each, times in known if len(times) >= RUNS_FEW}
+        return FIGURES, figures.to_keep(self.host.machine.cores, self.before, now)
+
+    def tell(self) -> None:
+        """The decisions begin once the interpreter is up, the store may be read before or after."""
+        if self.to_tell and self.host.node is not None:
+            self.to_tell = False
+            for name, took in self.before.items():
+                self.host.node.ran_before(self.host.clock(), self.host.tariffs[name.encode()], took)
+
+
 class Return:
     """Owns the timer of the node's reports. Tells the host how far it may serve."""
 
@@ -65,6 +98,7 @@
         """`host`: as net.host.Host; `proof`: do its receipts stand?"""
         self.reactor, self.client, self.host, self.log = reactor, client, host, log
         self.waking, self.record, self.proof, self.unix = waking, record, proof, unix
+        self.learned = Learned(host, log)
         self.told: tuple[float, bool] | None = None
         self.said = ""
         self.timer: Any = None
@@ -80,6 +114,7 @@
         if self.left:
             return
         waking, now = self.waking, self.now()
+        self.learned.tell()
         waking.ready, waking.proof = self.host.ready(), self.proof()
         if self.record.now is not None and not waking.heard:
             waking.clock, waking.epoch = self.record.judged, max(waking.epoch, self.record.epoch)
--- a/tests/fleet/test_fleet_return.py
+++ b/tests/fleet/test_fleet_return.py
@@ -2,6 +2,8 @@
 `python -m tests.fleet.revive`.
 """
 
+import re
+
 import pytest
 
 from lichencleat.lab.rig.fleet import Fleet
@@ -47,3 +49,27 @@
     assert "event=epoch" in fleet.nodes["n1"].said() and "event=plan" in rig.logs() + "".join(
         each.said() for each in fleet.nodes.values()
     )
+
+
+def test_nodes_recall_their_own_speed_from_their_disks(tmp_path):
+    fleet = Fleet(tmp_path, nodes=2)
+    try:
+        slow = fleet.nodes["n2"].engine
+        fleet.rig.relays.call(lambda: setattr(slow, "work", 0.08))  # eight times the other's
+        fleet.work(60)
+        for each in fleet.nodes.values():  # its last sign of life stands on the disk once it has ended
+            each.signal(15)
+        for each in fleet.nodes.values():
+            assert each.ended() == 0
+        fleet.come_back(list(fleet.nodes), [])
+        fleet.until_open()
+        took = {}
+        for name, each in fleet.nodes.items():
+            (said,) = re.findall(r'event=recalls .*runs="(.*?)"', each.said())
+            took[name] = dict(re.findall(r"(\w+) ([\d.]+) ms", said))
+        # with the call below, 30 ms of both: about 110 ms and 40
+        assert float(took["n2"]["look"]) > 2 * float(took["n1"]["look"]) > 60
+        fleet.work()
+        assert fleet.judge() is None
+    finally:
+        fleet.close()
