--- a/lichencleat/chosen/file.py
+++ b/lichencleat/chosen/file.py
@@ -222,17 +222,21 @@
 
 def fields_at(where: str, root: type[Any]) -> list[str]:
     """The keys that the struct at that path has."""
-    kind: Any = root
+    kind = root
     for key, _ in PART.findall(where):
-        if key and isinstance(kind, type) and issubclass(kind, Struct):
-            kind = next(each.type for each in msgspec.structs.fields(kind) if each.name == key)
-            inner = [each for each in getattr(kind, "__args__", ()) if each is not type(None)]
-            kind = inner[0] if inner else kind
-            inner = getattr(kind, "__args__", ())
-            kind = inner[0] if inner else kind
+        if key:
+            named = next(each.type for each in msgspec.structs.fields(kind) if each.name == key)
+            kind = struct_in(named) or kind
     return [each.name for each in msgspec.structs.fields(kind)]
 
 
+def struct_in(kind: Any) -> type[Struct] | None:
+    """The struct that stands in a type: as it is, or none, or in a list, or by names in a table."""
+    if isinstance(kind, type) and issubclass(kind, Struct):
+        return kind
+    return next((found for each in getattr(kind, "__args__", ()) if (found := struct_in(each))), None)
+
+
 def sense(path: str, place: Place, chosen: Chosen) -> None:
     """Values that are each in their form and do not fit together."""
     if chosen.distribution is not None:
--- a/lichencleat/cli/main.py
+++ b/lichencleat/cli/main.py
@@ -23,8 +23,10 @@
         "lichencleat.cli.quorum",
         "Voters that agree on small facts: make a group, run it, change it.",
     ),
+    "router": ("lichencleat.cli.router", "Carries requests to nodes: near while that is safe."),
     "shares": ("lichencleat.cli.shares", "Parts of a dependency, dealt out to the fleet's nodes."),
     "store": ("lichencleat.cli.store", "Records that survive cuts: put, get, check, repair."),
+    "zones": ("lichencleat.cli.zones", "Which zone serves what, drills, and why."),
 }
 EXTRAS = {
     "yaml": "file",
--- a/lichencleat/lab/rig/relay.py
+++ b/lichencleat/lab/rig/relay.py
@@ -37,7 +37,7 @@
     def from_caller(self, data: bytes) -> None:
         if not self.caller:
             self.head += data
-            name = caller_of(self.head)
+            name = self.relay.caller or caller_of(self.head)
             if name is None:
                 return
             self.caller, data, self.head = name, self.head, b""
@@ -124,8 +124,9 @@
 
     noisy = False
 
-    def __init__(self, relays: Relays, name: str, to: int) -> None:
-        self.relays, self.name, self.to = relays, name, to
+    def __init__(self, relays: Relays, name: str, to: int, caller: str = "") -> None:
+        """`caller`: who calls, where all that call are one; else their greetings tell."""
+        self.relays, self.name, self.to, self.caller = relays, name, to, caller
         self.links: dict[Link, None] = {}
         self.port = relays.reactor.listenTCP(0, self, interface=LOCAL)
 
@@ -150,11 +151,11 @@
     def call(self, what: Callable[..., Any], *args: Any) -> Any:
         return blockingCallFromThread(self.reactor, what, *args)
 
-    def before(self, name: str, to: int) -> int:
-        """A port whose connections go to that one."""
+    def before(self, name: str, to: int, caller: str = "") -> int:
+        """A port whose connections go to that one; `caller`: see `Relay`."""
 
         def make() -> int:
-            self.by_name[name] = Relay(self, name, to)
+            self.by_name[name] = Relay(self, name, to, caller)
             return self.by_name[name].port.getHost().port
 
         return self.call(make)
--- /dev/null
+++ b/lichencleat/lab/rig/routers.py
@@ -0,0 +1,170 @@
+"""Zones of real nodes behind real routers, with voters that know the order of zones: all processes of the
+program, with relays before the voters, and before each node one for the routers of each zone.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import subprocess
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from lichencleat.lab.rig.nodes import HARD_LIMIT, RigNode, settings, unix_time
+from lichencleat.lab.rig.peers import Asked, Caller
+from lichencleat.lab.rig.relay import LOCAL
+from lichencleat.lab.rig.rig import GROUP, Rig, Signalled, free_port
+
+CARRIES = 400.0  # requests a second that a zone is said to carry
+FAR = 5.0  # ms
+
+
+class RouterProcess(Signalled):
+    """One process of the router; what it is told outlives it."""
+
+    def __init__(self, zones: Zones, name: str, zone: str, candidate: bool) -> None:
+        self.zones, self.name, self.zone = zones, name, zone
+        rig = zones.rig
+        self.port = free_port(rig.reserved)
+        self.log, self.file = rig.path / f"{name}.log", rig.path / f"{name}.yaml"
+        self.running: subprocess.Popen | None = None
+        self.chosen: dict[str, Any] = {
+            "name": name,
+            "zone": zone,
+            "listen": f"{LOCAL}:{self.port}",
+            "settings": str(zones.settings),
+            "routers": zones.count,
+            "group": GROUP,
+            "members": [each.address for each in rig.voters.values()],
+            "candidate": candidate,
+        }
+
+    def write_file(self) -> None:
+        self.chosen["zones"] = {
+            name: {
+                "far_ms": 0.0 if name == self.zone else FAR,
+                "nodes": {each: f"{LOCAL}:{self.zones.relay_of(each, self.zone)}" for each in nodes},
+            }
+            for name, nodes in self.zones.names.items()
+        }
+        self.file.write_text(yaml.safe_dump({"router": self.chosen}))
+
+    def start(self) -> None:
+        self.write_file()
+        rig = self.zones.rig
+        with open(self.log, "ab") as log:
+            words = ["router", "run", str(self.file)]
+            self.running = rig.program(words, stderr=log, env=rig.variables(self.name))
+
+    def said(self) -> str:
+        return self.log.read_text() if self.log.exists() else ""
+
+    def caller(self, number: int = 1) -> Caller:
+        made = self.zones.rig.relays.call(
+            Caller, self.zones.rig.relays.reactor, (LOCAL, self.port), unix_time, number
+        )
+        self.zones.callers.append(made)
+        return made
+
+
+class Zones:
+    """Owns rig, nodes, routers and callers; all are given back in `close`."""
+
+    def __init__(
+        self,
+        path: Path,
+        names: tuple[str, ...] = ("a", "b"),
+        nodes: int = 2,
+        routers: int = 1,
+        work: float = 0.01,
+    ) -> None:
+        self.rig = rig = Rig(path)
+        self.count = routers * len(names)
+        self.names = {zone: [f"{zone}-n{number}" for number in range(1, nodes + 1)] for zone in names}
+        self.settings = path / "settings.json"
+        self.settings.write_text(json.dumps(settings()))
+        self.callers: list[Caller] = []
+        self.relays_of: dict[tuple[str, str], int] = {}
+        self.nodes: dict[str, RigNode] = {}
+        rig.form()
+        self.file = str(rig.voters["v1"].file)
+        for zone in names:
+            far = [f"--far={other}={FAR}" for other in names if other != zone]
+            words = ["zones", "define", self.file, zone, "--carries", str(CARRIES), *far]
+            code, said = rig.command(*words)
+            assert code == 0, said
+            for name in self.names[zone]:
+                self.nodes[name] = RigNode(rig, name, {}, told=settings(), work=work)
+                self.nodes[name].start()
+        self.routers = {
+            f"{zone}-r{number}": RouterProcess(self, f"{zone}-r{number}", zone, number == 1)
+            for zone in names
+            for number in range(1, routers + 1)
+        }
+        for each in self.routers.values():
+            each.start()
+
+    def relay_of(self, node: str, zone: str) -> int:
+        """The port at which routers of that zone reach the node: a link of its own, so that it can be cut."""
+        key = (node, zone)
+        if key not in self.relays_of:
+            self.relays_of[key] = self.rig.relays.before(f"{node}<{zone}", self.nodes[node].port, zone)
+        return self.relays_of[key]
+
+    def command(self, *words: str) -> tuple[int, str]:
+        return self.rig.command(*words)
+
+    def status(self) -> dict[str, dict[str, Any]]:
+        code, said = self.command("zones", "status", self.file, "--json")
+        return {each["zone"]: each for each in json.loads(said)} if code == 0 else {}
+
+    def until(self, holds: Callable[[], Any], what: str) -> Any:
+        return self.rig.until(holds, what)
+
+    def ask(self, caller: Caller, tariff: bytes, body: bytes, rng: random.Random, **more: Any) -> Asked:
+        """Sends one try, as soon as a connection is there."""
+        key = more.pop("key", b"")
+
+        def ask() -> Asked | None:
+            return self.rig.relays.call(lambda: caller.ask(tariff, body, HARD_LIMIT, rng, key, **more))
+
+        return self.until(ask, "a connection to the router")
+
+    def answer(self, caller: Caller, tariff: bytes, body: bytes, rng: random.Random, **more: Any) -> Asked:
+        asked = self.ask(caller, tariff, body, rng, **more)
+        self.until(lambda: asked.answers or asked.lost, "an answer")
+        return asked
+
+    def runs(self, tariff: bytes, body: bytes) -> dict[str, int]:
+        """How often it ran, by node."""
+        return {
+            name: count for name, each in self.nodes.items() if (count := each.engine.begun[tariff, body])
+        }
+
+    def judge(self) -> str | None:
+        made: dict[tuple[bytes, bytes], set[bytes]] = {}
+        for node in self.nodes.values():
+            for what, results in node.engine.made.items():
+                made.setdefault(what, set()).update(results)
+        for caller in self.callers:
+            for each in caller.said:
+                if len(each.answers) > 1:
+                    return f"{each.body!r} was answered {len(each.answers)} times"
+                if not each.answers and not each.lost:
+                    return f"{each.body!r} was not answered"
+                for word, _, result, when in each.answers:
+                    if word == b"200" and result not in made.get((each.tariff, each.body), set()):
+                        return f"{each.body!r} was honoured with what no run made"
+                    if when > each.due + 50_000:
+                        return f"{each.body!r} was answered {when - each.due} µs late"
+        return None
+
+    def close(self) -> None:
+        for each in self.callers:
+            self.rig.relays.call(each.close)
+        for node in self.nodes.values():
+            node.close()
+        self.rig.close()
--- /dev/null
+++ b/lichencleat/router/file.py
@@ -0,0 +1,103 @@
+"""The file of a router: YAML, its form, its defaults, and mistakes told with their place."""
+
+from __future__ import annotations
+
+import json
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from lichencleat.chosen.file import (
+    Address,
+    LogChoice,
+    Name,
+    Place,
+    WrongFileError,
+    check_address,
+    host_port,
+    load,
+    read_as,
+)
+from lichencleat.machine import BadInputError, decode_machine
+from lichencleat.terms import Machine
+
+__all__ = ["RouterChoice", "RouterFile", "ZoneChoice", "host_port", "read_router"]
+
+NODES_MOST = 4_096  # of all zones
+Milliseconds = Annotated[float, Meta(ge=0, le=10_000)]
+
+
+class ZoneChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    nodes: Annotated[dict[Name, Address], Meta(max_length=NODES_MOST)]
+    far_ms: Milliseconds = 0.0  # the way there and back, from this router's zone
+
+
+class RouterChoice(Struct, forbid_unknown_fields=True, frozen=True):
+    name: Name  # of this router, among all
+    zone: Name  # in which it stands
+    listen: Address
+    settings: Annotated[str, Meta(min_length=1)]  # a file with the nodes' settings, as they are told them
+    zones: Annotated[dict[Name, ZoneChoice], Meta(min_length=1, max_length=32)]
+    routers: Annotated[int, Meta(ge=1, le=1_024)] = 1  # of all zones: they share the room for guests
+    stop_ms: Annotated[float, Meta(ge=500, le=600_000)] = 3_000.0  # from the notice to leave to the stop
+    descriptors: Annotated[int, Meta(ge=64, le=1_048_576)] = 1_024
+    memory_mb: Annotated[float, Meta(ge=32, le=1_000_000)] = 192.0
+    group: Name | None = None  # of the voters that know the order of zones; absent: nothing is sent elsewhere
+    members: Annotated[list[Address], Meta(max_length=64)] = []
+    candidate: bool = False  # it may own the job `zones`
+
+
+class RouterFile(Struct, forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    router: RouterChoice
+    log: LogChoice = LogChoice()
+
+
+def read_router(path: str) -> tuple[RouterFile, Machine, frozenset[bytes]]:
+    """The file, and of the settings that it names the classes and tenants. Raises WrongFileError."""
+    chosen, place = read_as(path, load(path), RouterFile)
+    sense(path, place, chosen.router)
+    line = place.line("$.router.settings")
+    try:
+        settings = json.loads(load(chosen.router.settings))
+        settings = settings.get("settings", settings)  # the platform's whole configuration does as well
+        machine = decode_machine(settings)
+        tenants = frozenset(each["name"].encode() for each in settings.get("orgs") or [])
+        if not machine.tariffs or any(each.hard_limit <= 0 for each in machine.tariffs):
+            raise BadInputError("no classes, or one without its deadline")
+    except (WrongFileError, BadInputError, ValueError, KeyError, TypeError, AttributeError) as wrong:
+        raise WrongFileError(
+            f"{path}, line {line}: router.settings: {chosen.router.settings}: {wrong!s:.200}; "
+            "name a JSON file with the nodes' settings"
+        ) from wrong
+    return chosen, machine, tenants
+
+
+def sense(path: str, place: Place, router: RouterChoice) -> None:
+    """Values that are each in their form and do not fit together."""
+    if router.zone not in router.zones:
+        line = place.line("$.router.zone")
+        there = ", ".join(sorted(router.zones))
+        raise WrongFileError(f"{path}, line {line}: router.zone: {router.zone!r} is none of zones ({there})")
+    seen: dict[str, str] = {}
+    for zone, choice in router.zones.items():
+        for name, address in choice.nodes.items():
+            where = f"router.zones.{zone}.nodes.{name}"
+            check_address(path, place, where, address, "192.0.2.7:6000")
+            if name in seen:
+                raise WrongFileError(
+                    f"{path}, line {place.line('$.' + where)}: {where}: the node {name!r} stands in "
+                    f"{seen[name]!r} as well; each has a name of its own"
+                )
+            seen[name] = zone
+    if len(seen) > NODES_MOST:
+        raise WrongFileError(f"{path}: router.zones: {len(seen)} nodes; {NODES_MOST} at the most")
+    if router.group is None and (router.members or router.candidate):
+        line = place.line("$.router.members") or place.line("$.router.candidate")
+        raise WrongFileError(
+            f"{path}, line {line}: router.group: is missing; members and candidate are of a group of voters"
+        )
+    if router.group is not None and not router.members:
+        line = place.line("$.router.group")
+        raise WrongFileError(f"{path}, line {line}: router.members: is missing; name the voters' addresses")
--- a/lichencleat/zones/near.py
+++ b/lichencleat/zones/near.py
@@ -77,8 +77,11 @@
         few = FEW if self.spill <= AWAY else 1  # most is away: what is left is all there is to judge by
         if duty in (Duty.DRAINS, Duty.FENCED):
             self.spill = 1.0
-        elif span.sent >= few:
-            self.judge(now, span)
+        else:
+            # Guards against a zone that nobody tries any more once an order lets it serve again
+            self.spill = min(self.spill, 1 - PROBE)
+            if span.sent >= few:
+                self.judge(now, span)
         if span.sent >= few:
             self.spans = {}
         self.fill(now)
--- a/tests/zones/test_zones.py
+++ b/tests/zones/test_zones.py
@@ -315,3 +315,20 @@
     ran = played("owner dies")
     assert ran.payoff > 0.95 and ran.peak < 1.1 and ran.swings <= 3
     assert ran == played("owner dies")
+
+
+def test_a_zone_that_was_drained_is_tried_again_once_the_order_lets_it_serve():
+    near = Near("x", {}, random.Random(1))
+    near.ordered(0, Order(1, 1, {"x": Duty.DRAINS}, {"y": 1_000.0}))
+    near.steps(0)
+    assert near.spill == 1.0 and "x" not in {near.chooses(0, SECOND, 0) for _ in range(50)}
+    near.ordered(0, Order(2, 1, {}, {"y": 1_000.0}))
+    near.steps(SPAN)
+    assert near.spill < 1.0 and "x" in {near.chooses(0, SECOND, 0) for _ in range(500)}
+    now = SPAN
+    for _ in range(60):
+        now += SPAN
+        for _ in range(20):
+            near.came("x", True, False)
+        near.steps(now)
+    assert near.spill < 0.1
