--- a/lichencleat/lab/rig/routers.py
+++ b/lichencleat/lab/rig/routers.py
@@ -20,6 +20,7 @@
 
 CARRIES = 400.0  # requests a second that a zone is said to carry
 FAR = 5.0  # ms
+WINDOW = 60.0  # s: longer than a test
 
 
 class RouterProcess(Signalled):
@@ -80,12 +81,15 @@
         nodes: int = 2,
         routers: int = 1,
         work: float = 0.01,
+        keyed: bool = False,
     ) -> None:
+        """So many nodes and routers a zone; `keyed`: the nodes' receipts outlive them."""
+        told = settings(window=WINDOW)
         self.rig = rig = Rig(path)
         self.count = routers * len(names)
         self.names = {zone: [f"{zone}-n{number}" for number in range(1, nodes + 1)] for zone in names}
         self.settings = path / "settings.json"
-        self.settings.write_text(json.dumps(settings()))
+        self.settings.write_text(json.dumps(told))
         self.callers: list[Caller] = []
         self.relays_of: dict[tuple[str, str], int] = {}
         self.nodes: dict[str, RigNode] = {}
@@ -97,7 +101,7 @@
             code, said = rig.command(*words)
             assert code == 0, said
             for name in self.names[zone]:
-                self.nodes[name] = RigNode(rig, name, {}, told=settings(), work=work)
+                self.nodes[name] = RigNode(rig, name, self.kept(name) if keyed else {}, told=told, work=work)
                 self.nodes[name].start()
         self.routers = {
             f"{zone}-r{number}": RouterProcess(self, f"{zone}-r{number}", zone, number == 1)
@@ -107,6 +111,9 @@
         for each in self.routers.values():
             each.start()
 
+    def kept(self, name: str) -> dict[str, Any]:
+        return {"keyed": {"directory": str(self.rig.path / f"{name}.keyed"), "disk": "held back"}}
+
     def relay_of(self, node: str, zone: str) -> int:
         """The port at which routers of that zone reach the node: a link of its own, so that it can be cut."""
         key = (node, zone)
