Explorer: two routers, one key, orders, cuts and restarts in all orders

Change: lichencleat/lab/explore_router.py, with the real decisions of two routers in two zones; three mistakes that the drawn lives had too stand there once.

--- /dev/null
+++ b/lichencleat/lab/explore_router.py
@@ -0,0 +1,256 @@
+"""Two routers of two zones, one key, orders that come in any order, cuts and repeats, in all orders; the real
+decisions.
+
+`python -m lichencleat.lab.explore_router` says how far all was tried, and that planted mistakes are caught.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Hashable, Iterable
+from typing import Any
+
+import click
+
+from lichencleat.lab.explore import Explored, explore
+from lichencleat.router.core import GUARD, TRIES_MOST, Router
+from lichencleat.router.terms import Act, Came, Carried, Decision
+from lichencleat.terms import Effect, Tariff, Told
+from lichencleat.zones.terms import Duty, Order, Zone
+
+SECOND = 1_000_000
+START = 1_000 * SECOND  # µs of Unix time
+SAVE = Tariff("save", Effect.RECEIPTED, soft_limit=SECOND, hard_limit=4 * SECOND, window=60 * SECOND)
+NODES = {"a": ["a1", "a2"], "b": ["b1"]}
+GUESTS = {"a": 1_000.0, "b": 1_000.0}
+ORDERS = [
+    Order(1, 1, {}, GUESTS),
+    Order(2, 1, {"a": Duty.DRAINS}, GUESTS),
+    Order(3, 1, {"b": Duty.FENCED}, GUESTS),
+]
+AGAIN, RESTARTS, TOLD = 2, 1, 3  # further tries, lost routers, and words of an order, at the most
+OUTCOMES = (Came.HONOURED, Came.DEFERRED, Came.UNSENT, Came.LOST)
+
+
+class First:
+    """In place of chance: the first of those that there are, and always the middle."""
+
+    def random(self) -> float:
+        return 0.5
+
+    def sample(self, of: list[Any], count: int) -> list[Any]:
+        return of[:count]
+
+
+def made(kind: type[Router], zone: str) -> Router:
+    ways = {"a": Zone("", 0.0, {"b": 5_000}), "b": Zone("", 0.0, {"a": 5_000})}
+    router = kind(zone, ways, NODES, Told.NOTHING, First(), START, 2)  # type: ignore[arg-type]
+    router.ordered(START, Order(0, 1, {}, GUESTS))
+    router.near.fill(START)
+    return router
+
+
+class World:
+    """The setting at one moment."""
+
+    kind: type[Router] = Router
+
+    def __init__(self) -> None:
+        self.routers = {zone: made(self.kind, zone) for zone in NODES}
+        self.now = START
+        self.open: list[tuple[str, Carried]] = []  # requests that have no answer, and at which router
+        self.tries: dict[int, str] = {}  # of them, by their place: the node of the try under way
+        self.may_run: set[str] = set()  # nodes that the key may have run on
+        self.sent: dict[str, int] = {}  # tries there that may run
+        self.first, self.again, self.restarts, self.told = 1, AGAIN, RESTARTS, TOLD
+        self.wrong: str | None = None
+
+    # -- as the explorer wants it ------------------------------------------------------------------------
+
+    def after(self, action: Any) -> World:
+        twin = copy.deepcopy(self)
+        getattr(twin, action[0])(*action[1:])
+        return twin
+
+    def violation(self) -> str | None:
+        return self.wrong
+
+    def key(self) -> Hashable:
+        routers = tuple(
+            (
+                each.near.order.number,
+                tuple((known.node, known.open, known.may_have_run) for known in each.keys.known.values()),
+                round(each.budget.left, 1),
+                tuple(
+                    tuple(sorted(z.nodes[n].away_until > self.now for n in z.nodes))
+                    for z in each.nodes.zones.values()
+                ),
+            )
+            for each in self.routers.values()
+        )
+        open_ = tuple(
+            (zone, r.further_try, r.tries, r.node, tuple(r.spent), r.may_have_run) for zone, r in self.open
+        )
+        left = self.first, self.again, self.restarts, self.told
+        return routers, open_, tuple(sorted(self.sent.items())), self.now, left
+
+    def actions(self) -> Iterable[Hashable]:
+        if self.first:
+            yield from (("asks", zone, False) for zone in NODES)
+        elif self.again:
+            yield from (("asks", zone, True) for zone in NODES)
+        if self.told:
+            yield from (("orders", zone, at) for zone in NODES for at in range(len(ORDERS)))
+        for at, (_, request) in enumerate(self.open):
+            yield from (("comes", at, came) for came in OUTCOMES if request.node)
+            yield ("leaves", at)
+        if self.restarts:
+            yield from (("restarts_at", zone) for zone in NODES)
+        if self.open:
+            yield ("time",)
+
+    # -- what happens ------------------------------------------------------------------------------------
+
+    def asks(self, zone: str, again: bool) -> None:
+        if again:
+            self.again -= 1
+        else:
+            self.first -= 1
+        ident = b"%d" % (self.first + self.again)
+        request = Carried(SAVE, ident, self.now, self.now + SAVE.hard_limit, key=b"k", further_try=again)
+        self.open.append((zone, request))
+        self.routers[zone].arrives(self.now, request)
+        self.pull(zone)
+
+    def orders(self, zone: str, at: int) -> None:
+        self.told -= 1
+        before = self.routers[zone].near.order.number
+        self.routers[zone].ordered(self.now, ORDERS[at])
+        if self.routers[zone].near.order.number < before:
+            self.wrong = f"an older order is followed: {ORDERS[at].number} after {before}"
+
+    def comes(self, at: int, came: Came) -> None:
+        zone, request = self.open[at]
+        node = request.node
+        if came in (Came.DEFERRED, Came.UNSENT):
+            self.sent[node] -= 1
+        self.routers[zone].came(self.now, request, came)
+        self.pull(zone)
+
+    def leaves(self, at: int) -> None:
+        zone, request = self.open[at]
+        self.routers[zone].caller_left(self.now, request)
+        self.pull(zone)
+        self.close(request)
+
+    def restarts_at(self, zone: str) -> None:
+        """What it knew is gone, what it had sent may run."""
+        self.restarts -= 1
+        self.routers[zone] = made(self.kind, zone)
+        self.open = [each for each in self.open if each[0] != zone]
+
+    def time(self) -> None:
+        self.now = min(request.due for _, request in self.open) - GUARD
+        for zone in NODES:
+            self.pull(zone)
+        late = [request for _, request in self.open if request.due - GUARD <= self.now]
+        if late:
+            self.wrong = self.wrong or "a request that is due is not answered"
+
+    # -- what is decided ---------------------------------------------------------------------------------
+
+    def pull(self, zone: str) -> None:
+        while (decision := self.routers[zone].next_decision(self.now)) is not None:
+            if decision.request is not None:
+                self.takes(decision)
+
+    def takes(self, decision: Decision) -> None:
+        request, node = decision.request, decision.node
+        assert request is not None
+        if decision.act is Act.SEND:
+            others = {name for name, count in self.sent.items() if count and name != node}
+            if others:
+                self.wrong = (
+                    self.wrong or f"the key goes to {node} and may run at {', '.join(sorted(others))}"
+                )
+            self.sent[node] = self.sent.get(node, 0) + 1
+        elif decision.act is Act.DEFER and request.may_have_run:
+            self.wrong = self.wrong or "it is told that it never ran, and it may have"
+        if decision.act in (Act.DEFER, Act.GIVE_UP, Act.HONOUR):
+            self.close(request)
+
+    def close(self, request: Carried) -> None:
+        self.open = [each for each in self.open if each[1] is not request]
+
+
+# -- planted mistakes ----------------------------------------------------------------------------------------
+
+
+class RepeatsWhatMayHaveRun(Router):
+    def may_try_again(self, now: int, request: Carried, came: Came, last: bool) -> bool:
+        return request.tries < TRIES_MOST and request.due - GUARD > now
+
+    def place_receipted(self, now: int, request: Carried) -> Decision:
+        if request.tries:
+            self.keys.known.pop(request.key, None)
+        return super().place_receipted(now, request)
+
+
+class Forgets(Router):
+    """Where a key ran, once its tries are over."""
+
+    def place_receipted(self, now: int, request: Carried) -> Decision:
+        known = self.keys.get(now, request.key)
+        if known is not None and not known.open:
+            known.node, known.may_have_run = "", False
+        return super().place_receipted(now, request)
+
+
+class TrustsFurtherTries(Router):
+    def place_receipted(self, now: int, request: Carried) -> Decision:
+        if self.keys.get(now, request.key) is None:
+            return self.place_in(now, request, self.zone_for(now, request))
+        return super().place_receipted(now, request)
+
+
+class TakesAnyOrder(Router):
+    def ordered(self, now: int, order: Order) -> bool:
+        self.near.order = order
+        self.near.fill(now)
+        return True
+
+
+class SaysThatNothingRan(Router):
+    def try_over(self, now: int, request: Carried, came: Came, span: int) -> None:
+        super().try_over(now, request, came, span)
+        request.may_have_run = False
+
+
+MISTAKES = {
+    "what may have run is sent again": (RepeatsWhatMayHaveRun, "the key goes to"),
+    "where a key ran is forgotten": (Forgets, "the key goes to"),
+    "a further try of an unknown key is sent": (TrustsFurtherTries, "the key goes to"),
+    "an older order is followed": (TakesAnyOrder, "an older order"),
+}
+
+
+def play(kind: type[Router], depth: int, most: int = 60_000) -> Explored:
+    world = type("Setting", (World,), {"kind": kind})()
+    return explore(world, depth, most)
+
+
+@click.command()
+@click.option("--depth", default=8, show_default=True)
+@click.option("--most", default=400_000, show_default=True, help="States that are looked at.")
+def main(depth: int, most: int) -> None:
+    """All orders to that depth, and the planted mistakes."""
+    click.echo(f"as it is: {play(Router, depth, most)}")
+    for name, (kind, _) in MISTAKES.items():
+        found = play(kind, depth, most)
+        click.echo(f"{name}: {found}")
+        for step in found.history:
+            click.echo(f"    {step}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/router/test_core.py
+++ b/tests/router/test_core.py
@@ -6,6 +6,7 @@
 import pytest
 from router_life import GUARD, LOOK, NODES, SAVE, SECOND, World
 
+from lichencleat.lab.explore_router import Forgets, SaysThatNothingRan, TrustsFurtherTries
 from lichencleat.router.core import IN_HAND_MOST, REPEAT_SPAN, TRIES_MOST, Router
 from lichencleat.router.keys import SLACK, Keys
 from lichencleat.router.nodes import UNREACHED
@@ -31,35 +32,12 @@
         return request.tries < TRIES_MOST and request.due - GUARD > now
 
 
-class Forgets(Router):
-    """Where a key ran, once its tries are over."""
-
-    def place_receipted(self, now, request):
-        known = self.keys.get(now, request.key)
-        if known is not None and not known.open:
-            known.node, known.may_have_run = "", False
-        return super().place_receipted(now, request)
-
-
-class TrustsFurtherTries(Router):
-    def place_receipted(self, now, request):
-        if self.keys.get(now, request.key) is None:
-            return self.place_in(now, request, self.zone_for(now, request))
-        return super().place_receipted(now, request)
-
-
 class Late(Router):
     def arrives(self, now, request):
         request.due += 4 * GUARD
         super().arrives(now, request)
 
 
-class SaysThatNothingRan(Router):
-    def try_over(self, now, request, came, span):
-        super().try_over(now, request, came, span)
-        request.may_have_run = False
-
-
 class KeepsOnSending(Router):
     def must_leave(self, now, at):
         super().must_leave(now, at)
