--- a/tests/quorum/test_parts.py
+++ b/tests/quorum/test_parts.py
@@ -5,9 +5,11 @@
 import msgspec
 import pytest
 
+from lichencleat.quorum import wire
 from lichencleat.quorum.facts import Facts, Set
 from lichencleat.quorum.parts import BEFORE, NAMED_MOST, TOLD_MOST, USES, Known, UnknownPartError
 from lichencleat.quorum.program import distribution_parts, parts
+from lichencleat.quorum.seats import Life
 from lichencleat.quorum.state import State, command
 from lichencleat.quorum.terms import Entry, Group, Member, Snapshot, What
 from lichencleat.revive.terms import Report
@@ -149,3 +151,32 @@
 def test_an_upgrade_in_any_order_ends_in_one_state_and_without_the_gate_in_several():
     assert all(len(upgraded(seed)) == 1 for seed in range(200))
     assert any(len(upgraded(seed, gate=False)) > 1 for seed in range(20))
+
+
+def test_frames_with_the_parts_are_read_by_a_version_before_that_and_the_other_way_round():
+    class Greeting(msgspec.Struct, frozen=True, array_like=True, tag=1):
+        format: int
+        group: bytes
+        name: str
+        seat: int
+        to: int
+        life: Life
+        member: str = ""
+
+    class Greeted(msgspec.Struct, frozen=True, array_like=True, tag=2):
+        welcome: int
+        group: bytes
+        seat: int
+        member: str
+        life: Life
+
+    life = Life(1, 2)
+    new = [
+        wire.Greeting(1, b"m", "g", 3, 4, life, "v", ("a", "b")),
+        wire.Greeted(1, b"m", 3, "v", life, ("a",)),
+    ]
+    old = [Greeting(1, b"m", "g", 3, 4, life, "v"), Greeted(1, b"m", 3, "v", life)]
+    for now, before in zip(new, old, strict=True):
+        assert msgspec.msgpack.decode(wire.encode(now), type=Greeting | Greeted) == before
+        read = wire.decode_frame(wire.encode(before))
+        assert read.parts is None and read == msgspec.structs.replace(now, parts=None)
