--- a/lichencleat/lab/rig/peers.py
+++ b/lichencleat/lab/rig/peers.py
@@ -94,6 +94,7 @@
         self.link: EngineLink | None = None
         self.begun: Counter[tuple[bytes, bytes]] = Counter()  # runs by tariff and body
         self.made: dict[tuple[bytes, bytes], list[bytes]] = {}  # their results
+        self.runs_of: dict[tuple[bytes, bytes], list[tuple[bytes, int]]] = {}  # which tries ran, and when
         self.on_run: Callable[[EngineRun], None] = lambda run: None
         self.on_end: Callable[[EngineRun], None] = lambda run: None
         self.port = reactor.listenTCP(0, Listening(lambda: EngineLink(self)), interface=LOCAL)
@@ -141,6 +142,7 @@
         run = EngineRun(ident, tariff, body, self.now(), tariff in self.calling)
         self.runs[ident] = run
         self.begun[tariff, body] += 1
+        self.runs_of.setdefault((tariff, body), []).append((ident, self.now()))
         self.on_run(run)
         self.go_on(run, self.waits if run.calls else self.end)
 
