--- a/tests/fleet/test_older_voters.py
+++ b/tests/fleet/test_older_voters.py
@@ -90,7 +90,7 @@
     fleet = Fleet(tmp_path, nodes=3)
     try:
         fleet.work()
-        voters = list(fleet.rig.voters)
+        epoch, voters = fleet.epoch(), list(fleet.rig.voters)
         fleet.cut(list(fleet.nodes), voters)
         for name in voters[1:]:
             fleet.rig.voters[name].lacks = LACKS
@@ -103,6 +103,6 @@
         fleet.come_back([], voters[1:])
         fleet.until_open()
         fleet.work()
-        assert fleet.epoch() == 2 and fleet.judge() is None
+        assert fleet.epoch() > epoch and fleet.judge() is None
     finally:
         fleet.close()
