--- a/lichencleat/quorum/parts.py
+++ b/lichencleat/quorum/parts.py
@@ -45,7 +45,7 @@
     def objection(self, part: str, group: Group, seat: int) -> str | None:
         """Why the member in `seat` can't decide on the part as the group's leader; None where it can."""
         if part not in self.own:
-            return f"the leader is of a version that does not know {part!r}"
+            return f"the leader does not know {part!r}: it is another group's, or of a later version"
         lacking = [
             each.name
             for each in group.members
