Router and zones: one count of first tries, one sum of what comes; no behaviour

Read once more: core.Sums was zones.near.Span with its counting written again (now Span.add serves both); preview had the judge's sum of what comes in each zone (now offered_in); Decision.why of the router was written and read by nobody (removed, the counters hold the reasons); three places of cli/zones.py spelled a duty the same way.

--- a/lichencleat/cli/zones.py
+++ b/lichencleat/cli/zones.py
@@ -39,6 +39,10 @@
     """The order of zones: who serves, who takes guests, and why."""
 
 
+def words(duty: Duty) -> str:
+    return duty.name.lower().replace("_", " ")
+
+
 class Seen:
     """The voters' state of it, read at one moment."""
 
@@ -116,7 +120,7 @@
         [
             name,
             each.region,
-            seen.order.duty(name).name.lower().replace("_", " "),
+            words(seen.order.duty(name)),
             round(seen.offered(name), 1),
             round(each.carries, 1),
             round(seen.order.guests.get(name, 0.0), 1),
@@ -157,7 +161,7 @@
     order = preview(seen.zones, seen.order, seen.sources, seen.wishes, zone, duty)
     moved = seen.offered(zone)
     taken = sum(room for name, room in order.guests.items() if name != zone)
-    click.echo(f"{zone}: {duty.name.lower().replace('_', ' ')}; {moved:.1f} requests a second come there")
+    click.echo(f"{zone}: {words(duty)}; {moved:.1f} requests a second come there")
     if duty in (Duty.DRAINS, Duty.FENCED):
         click.echo(f"the others have room for {taken:.1f}; {order.edge.get(zone, 0.0):.0%} would be deferred")
     if not dry_run:
@@ -210,8 +214,7 @@
     """Why ZONE does what it does."""
     seen = Seen(file)
     each = seen.named(zone)
-    duty = seen.order.duty(zone)
-    click.echo(f"{zone}: {duty.name.lower().replace('_', ' ')} by order {seen.order.number}")
+    click.echo(f"{zone}: {words(seen.order.duty(zone))} by order {seen.order.number}")
     click.echo(
         f"it is known to carry {each.carries:.1f} requests a second; {seen.offered(zone):.1f} come there"
     )
--- a/lichencleat/router/core.py
+++ b/lichencleat/router/core.py
@@ -13,14 +13,13 @@
 import random
 from collections import Counter, deque
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from lichencleat.router.keys import Keys
 from lichencleat.router.nodes import Nodes
 from lichencleat.router.terms import Act, Came, Carried, Decision
 from lichencleat.terms import Effect, Told
 from lichencleat.zones.budget import Budget
-from lichencleat.zones.near import SPAN, Near
+from lichencleat.zones.near import SPAN, Near, Span
 from lichencleat.zones.terms import Order, Seen, Zone
 
 GUARD = 30_000  # µs before a request is due: a node answers some 100 before, and the way back takes a few
@@ -36,16 +35,6 @@
 SECOND = 1_000_000  # µs
 
 
-@dataclass(slots=True)
-class Sums:
-    """First tries to one zone since the voters were told last."""
-
-    sent: int = 0
-    well: int = 0
-    turned: int = 0
-    lost: int = 0
-
-
 class Router:
     def __init__(
         self,
@@ -73,7 +62,7 @@
         self.waits: list[tuple[int, int, Carried, int]] = []  # patience of pure tries, and which try it was
         self.serial = 0
         self.step_at = now + SPAN
-        self.sums: dict[str, Sums] = {}
+        self.sums: dict[str, Span] = {}  # since the voters were told last
         self.came_lately: deque[int] = deque()
         self.leaves_at: int | None = None
         self.no_send_after: int | None = None
@@ -115,11 +104,10 @@
             self.counts["tried again"] += 1
             self.ready.append(request)
         elif not request.may_have_run:
-            why = "deferred by its node" if came is Came.DEFERRED else "no node was reached"
-            self.end(request, Decision(Act.DEFER, request, span=span or DEFER_SPAN, last=last, why=why))
+            self.end(request, Decision(Act.DEFER, request, span=span or DEFER_SPAN, last=last))
         else:
             self.counts[f"given up: {came.name.lower()}"] += 1
-            self.end(request, Decision(Act.GIVE_UP, request, why=came.name.lower()))
+            self.end(request, Decision(Act.GIVE_UP, request))
 
     def try_over(self, now: int, request: Carried, came: Came, span: int) -> None:
         self.nodes.over(now, request.node, came, span, now - request.sent_at)
@@ -132,11 +120,7 @@
     def tell_first(self, zone: str, came: Came) -> None:
         well, turned = came is Came.HONOURED, came is Came.DEFERRED
         self.near.came(zone, well, turned)
-        sums = self.sums.setdefault(zone, Sums())
-        sums.sent += 1
-        sums.well += well
-        sums.turned += turned
-        sums.lost += not well and not turned
+        self.sums.setdefault(zone, Span()).add(well, turned)
 
     def caller_left(self, now: int, request: Carried) -> None:
         """Nobody waits any more. A receipted try that is under way may run: its key stays bound."""
@@ -263,8 +247,8 @@
         request.ended = True
         self.in_hand.pop(request, None)
         if request.may_have_run:
-            return Decision(Act.GIVE_UP, request, why=why)
-        return Decision(Act.DEFER, request, span=request.span or span, why=why)
+            return Decision(Act.GIVE_UP, request)
+        return Decision(Act.DEFER, request, span=request.span or span)
 
     def may_try_again(self, now: int, request: Carried, came: Came, last: bool) -> bool:
         """By the budget of all repeats; a try that may have run is repeated only where that does no harm."""
@@ -289,7 +273,7 @@
                 if request.node and request.tries == 1:
                     self.tell_first(request.zone, Came.SILENT)
                 self.quit(now, request, Came.SILENT)
-                self.end(request, Decision(Act.GIVE_UP, request, why="due"))
+                self.end(request, Decision(Act.GIVE_UP, request))
 
     def lose_patience(self, now: int) -> None:
         """Guards pure requests against nodes that are silent or far too slow, whatever the cause.
--- a/lichencleat/router/terms.py
+++ b/lichencleat/router/terms.py
@@ -60,4 +60,3 @@
     first: bool = True  # SEND: the caller's own try, under the caller's own name for it
     span: int = 0  # µs: of an advice, or to the next look
     last: bool = False  # DEFER: no try elsewhere
-    why: str = ""
--- a/lichencleat/zones/judge.py
+++ b/lichencleat/zones/judge.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from lichencleat.zones.terms import JOB, Duty, Give, Learn, Order, Source, Unwish, Wished, Zone
@@ -45,6 +46,15 @@
     why: str = ""
 
 
+def offered_in(zones: Mapping[str, Zone], sources: Mapping[str, Source]) -> dict[str, float]:
+    """Requests a second that come in each zone, by these words."""
+    offered = dict.fromkeys(zones, 0.0)
+    for each in sources.values():
+        if each.zone in offered:
+            offered[each.zone] += each.offered
+    return offered
+
+
 @dataclass(slots=True)
 class Judge:
     token: int
@@ -68,10 +78,7 @@
             self.takes_over(now, order)
         fresh = self.heard(now, sources)
         said: list = self.ended(now, wishes)
-        offered = {name: 0.0 for name in zones}
-        for each in fresh.values():
-            if each.zone in offered:
-                offered[each.zone] += each.offered
+        offered = offered_in(zones, fresh)
         for name, zone in zones.items():
             known = self.known.setdefault(name, Known())
             self.judge(now, name, known, fresh, sources)
--- a/lichencleat/zones/near.py
+++ b/lichencleat/zones/near.py
@@ -38,6 +38,12 @@
     turned: int = 0
     lost: int = 0
 
+    def add(self, well: bool, turned: bool) -> None:
+        self.sent += 1
+        self.well += well
+        self.turned += turned
+        self.lost += not well and not turned
+
 
 class Near:
     """Of one router. `steps` is asked each SPAN, `chooses` for each first try."""
@@ -65,11 +71,7 @@
 
     def came(self, zone: str, well: bool, turned: bool) -> None:
         """A first try to that zone came to its end."""
-        span = self.spans.setdefault(zone, Span())
-        span.sent += 1
-        span.well += well
-        span.turned += turned
-        span.lost += not well and not turned
+        self.spans.setdefault(zone, Span()).add(well, turned)
 
     def steps(self, now: int) -> None:
         span = self.spans.get(self.zone, Span())
--- a/lichencleat/zones/preview.py
+++ b/lichencleat/zones/preview.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lichencleat.zones.judge import Judge, Known
+from lichencleat.zones.judge import Judge, Known, offered_in
 from lichencleat.zones.terms import Duty, Order, Source, Wished, Zone
 
 
@@ -19,8 +19,4 @@
     for name in zones:
         stands_by = order.duty(name) is Duty.STANDS_BY and name not in wishes
         judge.known[name] = Known(out=stands_by, trickle=0.0 if stands_by else 1.0)
-    offered = {name: 0.0 for name in zones}
-    for each in sources.values():
-        if each.zone in offered:
-            offered[each.zone] += each.offered
-    return judge.order(zones, offered, {**wishes, zone: Wished(duty, 0, 0)}, order)
+    return judge.order(zones, offered_in(zones, sources), {**wishes, zone: Wished(duty, 0, 0)}, order)
