--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Plays case 7: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the copy.
+# Plays case 7: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the bad client.
 cd "$(dirname "$0")/../.." || exit 2
 exec .venv/bin/python review/7/case.py
--- a/review/kit-2/standins.py
+++ b/review/kit-2/standins.py
@@ -20,7 +20,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 PYTHON = str(ROOT / ".venv" / "bin" / "python")
-COMMAND = str(ROOT / ".venv" / "bin" / "lichencleat")
+COMMAND = [PYTHON, "-m", "lichencleat"]  # what .venv/bin/lichencleat runs
 LOCAL = "127.0.0.1"
 STARTED: list[subprocess.Popen] = []
 START = time.monotonic()
@@ -79,13 +79,13 @@
 
 def start_command(arguments: list[str], log: Path) -> subprocess.Popen:
     """Start a long-running command of the program `lichencleat`."""
-    return start([COMMAND, *arguments], log)
+    return start([*COMMAND, *arguments], log)
 
 
 def command(arguments: list[str], timeout: float = 30.0) -> tuple[int, str]:
     """Run a command of the program `lichencleat` to its end; returns its exit code and output."""
     done = subprocess.run(
-        [COMMAND, *arguments],
+        [*COMMAND, *arguments],
         cwd=ROOT,
         timeout=timeout,
         check=False,
