--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.." || exit 1
 .venv/bin/python -c "import click, crc32c, msgspec, sortedcontainers, structlog, xxhash, yaml" 2>/dev/null ||
     .venv/bin/pip -q install '.[commands,file,store,fleet]'
-exec .venv/bin/python -m compileall -q review/kit-2 review/6 review/7 review/8 review/9
+exec .venv/bin/python -m compileall -q review/kit-2 review/6 review/7 review/8 review/9 review/10
