Give each idempotency record a version; only its own request changes it

Cause: the index and the store hold one record per key. Bodies are compared when a request arrives, but the record is written in the next round of decisions, so two bodies read in one turn are both new. From then on record_intent, delete_intent, _withdraw and write_result acted on the key's record, whosever it was. Same cause, found by trying the other pairs that meet there: - two bodies that wait for the index to be loaded; - a repeat that takes the place of a late request: the late request's slow or failed intent deleted the repeat's record, and its start stayed in pending_starts and _open_records for good; - a run that outlasts its window: its result replaced the intent of the key's next request, whose repeat then ran a third time; likewise where the process before had started it; - a request that replaced a record whose window was over and was withdrawn: the earlier process's run was gone with it, and a repeat that had arrived in time and was read late ran again.

Change: each row has a version. Deletions, results, retried results and earlier runs act only on the version that they know.

Why it works: the disk gets its writes in the order in which the index changes, so what holds for the row's version holds for the record on the disk.

--- a/lichencleat/idempotency/earlier_runs.py
+++ b/lichencleat/idempotency/earlier_runs.py
@@ -78,7 +78,7 @@
             return
         completed = complete_record(run.record, outcome, result)
         answer = result if outcome is Outcome.COMPLETED else None
-        written = self._writer.write_result(run.key, completed)
+        written = self._writer.write_result(run.key, run.version, completed)
         written.addBoth(lambda _: self._answer_waiting(run.key, answer))
 
     def _answer_waiting(self, key: bytes, result: bytes | None) -> None:
--- a/lichencleat/idempotency/index.py
+++ b/lichencleat/idempotency/index.py
@@ -38,6 +38,7 @@
 
     key: bytes  # record key
     record: IdempotencyRecord  # the intent of the run
+    version: int  # version of the row of the intent
     deadline: int  # time after which no report of the run is expected
 
 
@@ -48,13 +49,18 @@
     expires: int  # end of the record's window
     body_digest: bytes
     result_size: int  # bytes
+    version: int  # each record that is put has another one, also under the same key
 
 
-ROW_FORMAT = struct.Struct("<BQ16sI")  # packs an IndexRow: as objects, rows take four times the memory
+ROW_FORMAT = struct.Struct("<BQ16sIQ")  # packs an IndexRow: as objects, rows take four times the memory
 
 
 class RecordIndex:
-    """The records by key, with limits on their number and bytes, a cache of results, and the earlier runs."""
+    """The records by key, with limits on their number and bytes, a cache of results, and the earlier runs.
+
+    A key has one record at a time. Whoever changes a record after a write or a run first compares its version
+    with the one that `put` returned: by then, the key may have the record of another request.
+    """
 
     def __init__(
         self, max_records: int, max_bytes: int, max_cached_bytes: int = MAX_CACHED_RESULT_BYTES
@@ -68,6 +74,7 @@
         self.cached_bytes = 0
         self.earlier_runs: dict[bytes, EarlierRun] = {}  # by run id
         self.is_loaded = False  # whether all stored records have been read
+        self._last_version = 0
 
     def look_up(self, key: bytes, body_digest: bytes, arrived: int) -> LookupResult:
         """Returns the state of a request's key.
@@ -77,7 +84,7 @@
             body_digest: Digest of the request's class and body.
             arrived: Time when the request arrived.
         """
-        row = self._row(key)
+        row = self.row(key)
         if row is None or arrived > row.expires:
             return LookupResult.NEW
         if row.body_digest != body_digest:
@@ -86,7 +93,7 @@
             return LookupResult.COMPLETED
         if row.state == RecordState.FAILED:
             return LookupResult.FAILED
-        if any(run.key == key for run in self.earlier_runs.values()):
+        if any(run.version == row.version for run in self.earlier_runs.values()):
             return LookupResult.AWAITED
         return LookupResult.UNKNOWN
 
@@ -94,16 +101,32 @@
         """Whether another record fits; records in their window are never evicted."""
         return len(self.rows) < self.max_records and self.disk_bytes + RECORD_OVERHEAD_BYTES <= self.max_bytes
 
-    def put(self, key: bytes, record: IdempotencyRecord) -> None:
-        """Adds or replaces a record that is stored or is being written."""
+    def row(self, key: bytes) -> IndexRow | None:
+        """Returns the row of a key, or None if the key has no record."""
+        packed = self.rows.get(key)
+        return None if packed is None else IndexRow(*ROW_FORMAT.unpack(packed))
+
+    def version(self, key: bytes) -> int | None:
+        """Returns the version of a key's record, or None if the key has no record."""
+        row = self.row(key)
+        return None if row is None else row.version
+
+    def put(self, key: bytes, record: IdempotencyRecord) -> int:
+        """Adds or replaces a record that is stored or is being written; returns the version of the record."""
         self.remove(key)
-        self._add_row(key, record)
+        version = self._add_record(key, record)
         if record.result:
             self.cache_result(key, record.result)
+        return version
+
+    def put_back(self, key: bytes, row: IndexRow) -> None:
+        """Puts back the row that another record of the key replaced; its result is no longer on disk."""
+        self.remove(key)
+        self._add_row(key, row)
 
     def remove(self, key: bytes) -> None:
         """Removes the record of a key, if there is one."""
-        row = self._row(key)
+        row = self.row(key)
         if row is None:
             return
         del self.rows[key]
@@ -128,7 +151,7 @@
         if key in self.result_cache:
             self.result_cache.move_to_end(key)
             return self.result_cache[key]
-        row = self._row(key)
+        row = self.row(key)
         return b"" if row is not None and row.result_size == 0 else None
 
     def remove_expired(self, now: int) -> list[bytes]:
@@ -149,10 +172,10 @@
             return True  # the key has a newer record of this process
         if record.expires + READ_DELAY_US < now:
             return False
-        self._add_row(key, record)  # the result is read on demand
+        version = self._add_record(key, record)  # the result is read on demand
         deadline = record.due + COMPLETION_DELAY_US
         if record.state == RecordState.OPEN and deadline > now:
-            self.earlier_runs[record.run_id] = EarlierRun(key, record, deadline)
+            self.earlier_runs[record.run_id] = EarlierRun(key, record, version, deadline)
         return True
 
     def discard_earlier_runs(self) -> None:
@@ -168,11 +191,14 @@
         """Removes and returns the earlier run that the interpreter reported; None if the run is unknown."""
         return self.earlier_runs.pop(run_id, None)
 
-    def _row(self, key: bytes) -> IndexRow | None:
-        packed = self.rows.get(key)
-        return None if packed is None else IndexRow(*ROW_FORMAT.unpack(packed))
-
-    def _add_row(self, key: bytes, record: IdempotencyRecord) -> None:
-        size = len(record.result)
-        self.rows[key] = ROW_FORMAT.pack(record.state, record.expires, record.body_digest, size)
-        self.disk_bytes += RECORD_OVERHEAD_BYTES + size
+    def _add_record(self, key: bytes, record: IdempotencyRecord) -> int:
+        self._last_version += 1
+        row = IndexRow(
+            record.state, record.expires, record.body_digest, len(record.result), self._last_version
+        )
+        self._add_row(key, row)
+        return row.version
+
+    def _add_row(self, key: bytes, row: IndexRow) -> None:
+        self.rows[key] = ROW_FORMAT.pack(*row)
+        self.disk_bytes += RECORD_OVERHEAD_BYTES + row.result_size
--- a/lichencleat/idempotency/intents.py
+++ b/lichencleat/idempotency/intents.py
@@ -8,8 +8,8 @@
 import msgspec
 from twisted.python.failure import Failure
 
-from lichencleat.admission.types import Outcome, Request
-from lichencleat.idempotency.index import RecordIndex
+from lichencleat.admission.types import Outcome, Request, RequestState
+from lichencleat.idempotency.index import IndexRow, LookupResult, RecordIndex
 from lichencleat.idempotency.interfaces import PendingRequest, Report, RequestEngine, Timers
 from lichencleat.idempotency.node_time import NodeTime
 from lichencleat.idempotency.records import IdempotencyRecord, RecordState, encode, split_request_key
@@ -33,6 +33,8 @@
 
     key: bytes
     record: IdempotencyRecord
+    version: int  # version of the record in the index
+    replaced: IndexRow | None  # the row that the record replaced; its window was over
 
 
 def complete_record(record: IdempotencyRecord, outcome: Outcome, result: bytes) -> IdempotencyRecord:
@@ -69,25 +71,33 @@
         self.pending_starts: dict[Request, PendingStart] = {}  # bounded by the node's running limit
 
     def record_intent(self, case: PendingRequest, window: int) -> None:
-        """Writes the intent of a request.
+        """Writes the intent of a request, unless the key's record is that of another request.
 
-        A request with the same key that arrives within the next `window` µs is a repeat of this request.
+        A request with the same key that arrives within the next `window` µs is a repeat of this request. If
+        the key's record is another request's, this request fails after the current round of decisions.
         """
         request = case.request
         key, body_digest = split_request_key(case.key)
+        self._delete_stale_intent(key, request)
+        arrived = self._time.from_unix(request.arrived)
+        if self._index.look_up(key, body_digest, arrived) is not LookupResult.NEW:
+            self._report.count("keyed", "keys taken by another request")
+            self._timers.after(0, self._engine.fail_start, case)
+            return
         record = IdempotencyRecord(
             RecordState.OPEN,
             request.request_class.name,
-            arrived=self._time.from_unix(request.arrived),
+            arrived=arrived,
             expires=self._time.now() + window,
             due=self._time.from_unix(request.due),
             run_id=case.ident,
             body_digest=body_digest,
         )
         start = PendingStart(case, self._timers.now())
-        self._open_records[request] = OpenRecord(key, record)
+        replaced = self._index.row(key)
+        version = self._index.put(key, record)
+        self._open_records[request] = OpenRecord(key, record, version, replaced)
         self.pending_starts[request] = start
-        self._index.put(key, record)
         written = self._writer.write(Batch().put(key, encode(record)))
         written.addCallbacks(
             self._on_intent_written, self._on_intent_failed, callbackArgs=(start,), errbackArgs=(start,)
@@ -132,7 +142,7 @@
             on_recorded()
             return
         completed = complete_record(known.record, outcome, result)
-        self._writer.write_result(known.key, completed).addBoth(lambda _: on_recorded())
+        self._writer.write_result(known.key, known.version, completed).addBoth(lambda _: on_recorded())
 
     def on_run_lost(self, case: PendingRequest) -> None:
         """Handles a run whose outcome is unknown: the intent stays stored."""
@@ -169,10 +179,26 @@
         elif start.is_requested:
             self._engine.on_run_abandoned(case)
 
+    def _delete_stale_intent(self, key: bytes, request: Request) -> None:
+        """Deletes the key's intent if it is of `request` itself or of a request that ended without a run."""
+        version = self._index.version(key)
+        if version is None:
+            return
+        holder = next((each for each, known in self._open_records.items() if known.version == version), None)
+        if holder is None:
+            return
+        has_ended_unstarted = holder.state is RequestState.ENDED and holder.started is None
+        if holder is request or has_ended_unstarted:
+            self.delete_intent(holder)
+
     def _delete_record(self, request: Request) -> None:
+        """Deletes the record of a request that did not run, unless the key has another request's record."""
         known = self._open_records.pop(request, None)
-        if known is None:
+        if known is None or self._index.version(known.key) != known.version:
             return
-        self._index.remove(known.key)
+        if known.replaced is None:
+            self._index.remove(known.key)
+        else:
+            self._index.put_back(known.key, known.replaced)
         self._writer.delete([known.key])
         self._on_capacity_changed()
--- a/lichencleat/idempotency/interfaces.py
+++ b/lichencleat/idempotency/interfaces.py
@@ -34,6 +34,9 @@
     def begin_run(self, case: PendingRequest) -> None:
         """Starts the run of a request whose intent is durable."""
 
+    def fail_start(self, case: PendingRequest) -> None:
+        """Fails a request that can't run, as another request with its key has a record."""
+
     def on_start_withdrawn(self, case: PendingRequest) -> None:
         """Rejects a request whose intent was not durable in time."""
 
--- a/lichencleat/idempotency/writer.py
+++ b/lichencleat/idempotency/writer.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
 
-from lichencleat.idempotency.index import LookupResult, RecordIndex
+from lichencleat.idempotency.index import RecordIndex
 from lichencleat.idempotency.interfaces import Report, Timers
 from lichencleat.idempotency.records import IdempotencyRecord, encode
 from lichencleat.store.batch import Batch
@@ -22,6 +23,13 @@
 MAX_UNWRITTEN_RESULTS = 1_024
 
 
+class UnwrittenResult(NamedTuple):
+    """A record with the outcome of a run that the disk failed to write."""
+
+    version: int  # version of the record in the index
+    record: IdempotencyRecord
+
+
 class RecordWriter:
     """Tracks writes in flight, and retries results that the disk failed to write."""
 
@@ -39,7 +47,7 @@
         self._on_write_started = on_write_started
         self._on_write_finished = on_write_finished
         self._last_number = 0
-        self._unwritten: dict[bytes, IdempotencyRecord] = {}  # by record key: results to write again
+        self._unwritten: dict[bytes, UnwrittenResult] = {}  # by record key: results to write again
         # By number of each write in flight: µs of the monotonic clock when the write began. The limit of the
         # store's queue also limits the number of writes in flight.
         self.in_flight: dict[int, int] = {}
@@ -78,16 +86,20 @@
             batch.delete(key)
         self.write_and_forget(batch)
 
-    def write_result(self, key: bytes, record: IdempotencyRecord) -> Deferred[None]:
+    def write_result(self, key: bytes, version: int, record: IdempotencyRecord) -> Deferred[None]:
         """Writes a record with the outcome of a run; the Deferred fires also if the write fails.
 
-        A failed write is repeated when the disk works again.
+        A failed write is repeated when the disk works again. Nothing is written if the key's record has
+        another version: the window of the run has ended, and the record is another request's.
         """
-        self._index.put(key, record)
+        if self._index.version(key) != version:
+            self._report.count("keyed", "results of replaced records")
+            return succeed(None)
+        written = UnwrittenResult(self._index.put(key, record), record)
 
         def keep_for_retry(failure: Failure) -> None:
             if len(self._unwritten) < MAX_UNWRITTEN_RESULTS:
-                self._unwritten[key] = record
+                self._unwritten[key] = written
 
         return self.write(Batch().put(key, encode(record))).addErrback(keep_for_retry)
 
@@ -120,7 +132,5 @@
         """Writes the results of failed writes again, if the index still has their records."""
         unwritten = self._unwritten
         self._unwritten = {}
-        for key, record in unwritten.items():
-            found = self._index.look_up(key, record.body_digest, record.arrived)
-            if found in (LookupResult.COMPLETED, LookupResult.FAILED):
-                self.write_result(key, record)
+        for key, result in unwritten.items():
+            self.write_result(key, result.version, result.record)
--- a/lichencleat/node/host.py
+++ b/lichencleat/node/host.py
@@ -414,6 +414,16 @@
         self.release(pending)
         self.schedule_decisions()
 
+    def fail_start(self, pending: PendingRequest) -> None:
+        """Fail a request that can't run, as another request with its key has a record; so do its repeats."""
+        pending.awaiting_storage = False
+        request = pending.request
+        request.started = None
+        if request.state is not RequestState.ENDED:
+            for repeat in (pending, *self.records.complete(request, None)):
+                self.complete_repeat(repeat, None)
+        self.release(pending)
+
     def on_run_abandoned(self, pending: PendingRequest) -> None:
         """End a request whose run was abandoned before it started."""
         pending.awaiting_storage = False
--- a/lichencleat/testkit/explore_keyed.py
+++ b/lichencleat/testkit/explore_keyed.py
@@ -23,6 +23,15 @@
 ATTEMPTS, CUTS, RUNS = 4, 3, 3
 
 
+def index_state(index: RecordIndex) -> Hashable:
+    """Return the state of an index: of the versions, it only matters which are equal."""
+    rows = tuple((key, index.row(key)[:-1]) for key in index.rows)  # type: ignore[index]
+    runs = tuple(
+        (run_id, run.version == index.version(run.key)) for run_id, run in index.earlier_runs.items()
+    )
+    return rows, runs
+
+
 class World:
     """State of the setting: a node, its disk, an interpreter that survives node restarts, and clients.
 
@@ -67,7 +76,7 @@
         """Return a key; states with equal keys have the same possible futures."""
         index = None
         if self.index is not None:
-            index = (tuple(self.index.rows.items()), tuple(self.index.earlier_runs), self.index.is_loaded)
+            index = (index_state(self.index), self.index.is_loaded)
         held = (
             self.disk,
             tuple(self.queue),
--- a/lichencleat/testkit/explore_revive.py
+++ b/lichencleat/testkit/explore_revive.py
@@ -31,6 +31,7 @@
 from lichencleat.recovery.readiness_gate import ReadinessGate
 from lichencleat.recovery.state import FleetState
 from lichencleat.testkit.explore import Explored, explore
+from lichencleat.testkit.explore_keyed import index_state
 
 POOL, LIMIT, FLOOR, TERM = "p", 3, 1, 1_000_000  # quota pool: limit and floor in calls, grant term in µs
 TICK = TERM // 2  # µs by which the action "tick" advances the clock
@@ -191,7 +192,7 @@
         )
         word = (gate.epoch, gate.share, gate.group_answered, gate.clock_offset) if gate else None
         reply = (node.reply.amount, node.reply.rejection) if node.reply else None
-        records = (node.records.is_loaded, tuple(node.records.rows.items())) if node.records else None
+        records = (node.records.is_loaded, index_state(node.records)) if node.records else None
         return (
             node.up,
             node.life,
--- a/tests/idempotency/node_lifecycle.py
+++ b/tests/idempotency/node_lifecycle.py
@@ -1,6 +1,7 @@
 """Incarnations of a node with one faulty disk and one interpreter, without sockets; the service is real."""
 
 import random
+from hashlib import blake2b
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -86,7 +87,8 @@
 
 
 class NodeIncarnation:
-    def __init__(self, environment, name="n1", inode=7, entries=1_000):
+    def __init__(self, environment, name="n1", inode=7, entries=1_000, keyed_class=SAVE):
+        self.keyed_class = keyed_class
         self.environment, self.name, self.inode, self.entries = environment, name, inode, entries
         self.answers, self.cases, self.start_error = {}, {}, ""
         self.reactor = environment.reactor
@@ -106,7 +108,7 @@
             max_concurrency_per_core=8.0,
             memory_kb=1e6,
             max_retry_after_us=SECOND,
-            request_classes=[LOOK, SAVE],
+            request_classes=[LOOK, self.keyed_class],
         )
         self.host = RequestEngine(
             machine, [], "1", self.clock, self.deadlines, self.interpreter, None, self.report
@@ -161,9 +163,13 @@
         return has_run
 
     def send_request(self, number, body=b"x", key=b"key", pure=False):
-        from hashlib import blake2b
+        self.receive_request(number, body, key, pure)
+        self.run_turn()
 
-        request_class, now = (LOOK if pure else SAVE), self.clock()
+    def receive_request(self, number, body=b"x", key=b"key", pure=False, arrived=None):
+        """Pass a request to the engine without a reactor turn, as when several are read in one turn."""
+        request_class = LOOK if pure else self.keyed_class
+        now = self.clock() if arrived is None else arrived
         request = Request(request_class, now, now + request_class.deadline, size_kb=1.0)
         request_key = b"" if pure else key + blake2b(b"save " + body, digest_size=16).digest()
         ident = b"%s-%d" % (b"%d" % id(self), number)
@@ -174,7 +180,6 @@
 
         self.cases[number] = case = PendingRequest(request, ident, key + body, request_key, reply)
         self.host.on_request_received(case)
-        self.run_turn()
 
     def disconnect_caller(self, number):
         self.host.on_caller_gone(self.cases[number])
@@ -210,4 +215,4 @@
         self.environment.disk = self.environment.disk.after_cut(by_chance(rng or random.Random(1)))
         if self.environment.interpreter_forgets:
             self.environment.running.clear()
-        return NodeIncarnation(self.environment, self.name, self.inode)
+        return NodeIncarnation(self.environment, self.name, self.inode, keyed_class=self.keyed_class)
