Compare the body of a result that was read from disk before it is served

Callers saw (in the test): a repeat answered with the result of another request, with another body. Cause: RecordLookup._read_result takes whatever record the key has when the read ends. If the window ends during a slow read, a request with another body may have replaced it; its result also went into the cache. Change: the record's body digest is compared, and the result is cached only for the version that was looked up.

--- a/lichencleat/idempotency/lookups.py
+++ b/lichencleat/idempotency/lookups.py
@@ -48,13 +48,12 @@
 
     def answer_repeat(self, case: PendingRequest) -> None:
         """Answers a repeat whose first request is not in flight on this node."""
-        key, _ = split_request_key(case.key)
         found = self._look_up(case)
         self._report.count("keyed", f"repeats told {found.value}")
         if found is LookupResult.COMPLETED:
-            self._answer_with_result(case, key)
+            self._answer_with_result(case)
         elif found is LookupResult.AWAITED:
-            self._earlier_runs.wait_for(key, case)
+            self._earlier_runs.wait_for(split_request_key(case.key)[0], case)
         else:
             self._answer_after_round(case, None)
 
@@ -62,22 +61,26 @@
         key, body_digest = split_request_key(case.key)
         return self._index.look_up(key, body_digest, self._time.from_unix(case.request.arrived))
 
-    def _answer_with_result(self, case: PendingRequest, key: bytes) -> None:
+    def _answer_with_result(self, case: PendingRequest) -> None:
+        key, body_digest = split_request_key(case.key)
         cached = self._index.cached_result(key)
         if cached is None:
-            self._read_result(case, key)
+            self._read_result(case, key, body_digest)
         else:
             self._answer_after_round(case, cached)
 
-    def _read_result(self, case: PendingRequest, key: bytes) -> None:
+    def _read_result(self, case: PendingRequest, key: bytes, body_digest: bytes) -> None:
+        """Answers with the result on disk, unless the key has the record of another request by then."""
         assert self._writer.store is not None
+        version = self._index.version(key)
 
         def on_read(value: bytes | None) -> None:
             record = decode_record(value) if value is not None else None
-            if record is None or record.state != RecordState.DONE:
+            if record is None or record.state != RecordState.DONE or record.body_digest != body_digest:
                 self._engine.complete_repeat(case, None)
                 return
-            self._index.cache_result(key, record.result)
+            if self._index.version(key) == version:
+                self._index.cache_result(key, record.result)
             self._engine.complete_repeat(case, record.result)
 
         def on_read_failed(failure: Failure) -> None:
--- a/tests/idempotency/test_shared_keys.py
+++ b/tests/idempotency/test_shared_keys.py
@@ -194,3 +194,25 @@
     node.receive_request(3, arrived=within_window)
     settle(node)
     assert runs_of(node, b"keyx") == 1 and node.answers[3][0] == "given up"
+
+
+def test_a_result_of_another_body_written_during_a_read_is_not_served():
+    """Guards against an answer with the result of another request, which replaced the record meanwhile."""
+    node = start_node(keyed_class=SHORT_WINDOW)
+    node.send_request(1, body=b"a"), settle(node)
+    node = restart(node)
+    within_window = node.clock()
+    node.receive_request(2, body=b"a", arrived=within_window)
+    node.run_turn()
+    (read,) = node.threads.calls  # the disk is slow with this read
+    node.threads.calls.clear()
+    pass_time(node, 2.5)
+    node.send_request(3, body=b"b")
+    settle(node)
+    assert node.answers[3] == ("honoured", b"result 2")
+    node.threads.calls.append(read)
+    settle(node)
+    assert node.answers[2] == ("given up", b"")
+    node.send_request(4, body=b"b")
+    settle(node)
+    assert node.answers[4] == ("honoured", b"result 2")
