Let a repeat take over the record of an attempt that is taken back unread

Callers could see, on every node, with or without a disk: one key run twice. A first attempt, its repeat, the abort of the first attempt and a third attempt are read in one turn of the reactor, as on a busy node. Cause: the first attempt alone has a record (node/receipts.py), not yet confirmed. RequestEngine.release drops it with the attempt, so the third attempt finds nothing and counts as new, while the repeat, linked to the first, takes its place in the next round: both run. Change: repeats are linked to the record. When it is dropped, the oldest repeat that is not decided yet takes it over and the place of the attempt; repeats that already wait for a run that never starts fail at once. Why it works: from its first attempt on, a key that has a live attempt has a record that a later one finds.

--- a/lichencleat/node/host.py
+++ b/lichencleat/node/host.py
@@ -178,6 +178,7 @@
         if pending.key and (originals := self.records.find_all(pending.key, request)):
             *request.other_originals, request.original = originals
             request.original_unknown = False
+            self.records.add_repeat(request.original, request)
         elif pending.key and not request.original_unknown:
             self.records.add(pending.key, request)
         self.node.on_request(self.clock(), request)
@@ -576,7 +577,9 @@
         """Remove the request if it is answered or abandoned, does not run and awaits no write to disk."""
         if pending.open or pending.run is not None or pending.awaiting_storage or pending.request.number < 0:
             return
-        self.records.discard_unconfirmed(pending.request)
+        for waiter in self.records.discard_unconfirmed(pending.request):
+            # the run that it waits for never starts
+            self.deadlines.after(0, self.complete_repeat, waiter, None)
         self.pending_ids.discard(pending.ident)
         self.pending_requests.release(pending.request.number)
         pending.request.number = -1
--- a/lichencleat/node/receipts.py
+++ b/lichencleat/node/receipts.py
@@ -14,13 +14,14 @@
 class IdempotencyRecord:
     """The idempotency record of one attempt, which later attempts with the same key repeat."""
 
-    __slots__ = ("key", "request", "valid_until", "result", "waiters", "expiry_timer")
+    __slots__ = ("key", "request", "valid_until", "result", "waiters", "repeats", "expiry_timer")
 
     def __init__(self, key: bytes, request: Request) -> None:
         self.key, self.request = key, request
         self.valid_until: int | None = None  # µs of Unix time; None until the record is confirmed
         self.result: bytes | None = None  # None until the run has ended, and if it failed
         self.waiters: dict[Any, None] = {}  # repeats that wait for the outcome, in order of arrival
+        self.repeats: dict[Request, None] = {}  # repeats that were linked to the attempt, until their release
         self.expiry_timer: Deadline | None = None
 
     def covers(self, arrived: int) -> bool:
@@ -40,6 +41,7 @@
         self.deadlines = deadlines
         self.by_key: dict[bytes, list[IdempotencyRecord]] = {}  # several if their windows follow each other
         self.by_request: dict[Request, IdempotencyRecord] = {}
+        self.linked: dict[Request, dict[Request, None]] = {}  # by repeat: the `repeats` that contain it
 
     def find_or_add(self, key: bytes, request: Request) -> Request | None:
         """Return the attempt that `request` repeats; without one, add a record for `request`, return None."""
@@ -121,8 +123,34 @@
         waiters, record.waiters = list(record.waiters), {}
         return waiters
 
-    def discard_unconfirmed(self, request: Request) -> None:
-        """Drop the record of a request that is released if the record was never confirmed."""
+    def add_repeat(self, original: Request, request: Request) -> None:
+        """Link a repeat to its original attempt, whose place it may have to take."""
+        record = self.by_request.get(original)
+        if record is not None:
+            record.repeats[request] = None
+            self.linked[request] = record.repeats
+
+    def discard_unconfirmed(self, request: Request) -> list[Any]:
+        """Drop the unconfirmed record of a released request; return the repeats that wait for its run.
+
+        The oldest linked repeat that waits for a decision takes the place of the request, so that an attempt
+        that is read later is linked to that repeat.
+        """
+        self.linked.pop(request, {}).pop(request, None)
         record = self.by_request.get(request)
-        if record is not None and record.valid_until is None:
-            self.remove(record)
+        if record is None or record.valid_until is not None:
+            return []
+        self.remove(record)
+        self._pass_on(record)
+        return list(record.waiters)
+
+    def _pass_on(self, record: IdempotencyRecord) -> None:
+        """Let the oldest repeat of a dropped record take the place of the record's attempt."""
+        repeat = next((each for each in record.repeats if each.state is RequestState.QUEUED), None)
+        if repeat is None:
+            return
+        self.linked.pop(repeat).pop(repeat)
+        record.request.replacement = repeat
+        repeat.original = repeat.other_originals.pop() if repeat.other_originals else None
+        successor = self.by_request.get(repeat) or self.add(record.key, repeat)
+        successor.repeats = record.repeats
--- a/tests/idempotency/test_shared_keys.py
+++ b/tests/idempotency/test_shared_keys.py
@@ -216,3 +216,18 @@
     node.send_request(4, body=b"b")
     settle(node)
     assert node.answers[4] == ("honoured", b"result 2")
+
+
+@pytest.mark.parametrize("withdrawn", [[1], [1, 2], [2, 1]])
+def test_an_attempt_read_after_its_original_was_taken_back_joins_a_repeat(withdrawn):
+    """Guards against two runs of a key whose first attempt is taken back in the turn in which it is read."""
+    node = start_node()
+    for number in (1, 2, 3):
+        node.receive_request(number)
+    for number in withdrawn:
+        node.host.on_caller_gone(node.cases[number])
+    node.receive_request(4)
+    settle(node)
+    assert runs_of(node, b"keyx") == 1
+    assert set(node.answers) == {1, 2, 3, 4} - set(withdrawn)
+    assert set(node.answers.values()) == {("honoured", b"result 1")}
--- a/tests/node/test_windows.py
+++ b/tests/node/test_windows.py
@@ -135,3 +135,23 @@
         assert not len(node.engine.pending_requests)
         node.advance(window + 2 * DEADLINE + 12 * SECOND)
         assert not node.engine.records.by_key
+
+
+@pytest.mark.parametrize("withdrawn", [[0], [0, 1], [1, 0]])
+def test_attempts_of_one_turn_run_once_though_the_first_is_taken_back(withdrawn):
+    """Guards against two runs of a key whose record was dropped with its first attempt; the repeat had none."""
+    node = SimulatedNode(5 * SECOND, random.Random(1))
+    node.rng.choice = lambda options: options[0]  # one key, and all attempts arrive now
+    for _ in range(3):
+        node.send_request()
+    for number in withdrawn:
+        node.attempts[number]["left"] = True
+        node.engine.on_caller_gone(node.attempts[number]["pending"])
+    node.send_request()
+    for _ in range(5):
+        node.advance(20_000)
+        node.end_run()
+    check_invariants(node, 5 * SECOND)
+    assert len(node.started) == 1
+    served = [attempt for attempt in node.attempts if attempt["answers"]]
+    assert [attempt["answers"][0][0] for attempt in served] == [Answer.SERVED] * (4 - len(withdrawn))
