--- a/tests/node/test_windows.py
+++ b/tests/node/test_windows.py
@@ -139,7 +139,7 @@
 
 @pytest.mark.parametrize("withdrawn", [[0], [0, 1], [1, 0]])
 def test_attempts_of_one_turn_run_once_though_the_first_is_taken_back(withdrawn):
-    """Guards against two runs of a key whose record was dropped with its first attempt; the repeat had none."""
+    """Guards against two runs of a key whose record went with its first attempt, as the repeat had none."""
     node = SimulatedNode(5 * SECOND, random.Random(1))
     node.rng.choice = lambda options: options[0]  # one key, and all attempts arrive now
     for _ in range(3):
