--- a/lichencleat/node/host.py
+++ b/lichencleat/node/host.py
@@ -577,6 +577,8 @@
         """Remove the request if it is answered or abandoned, does not run and awaits no write to disk."""
         if pending.open or pending.run is not None or pending.awaiting_storage or pending.request.number < 0:
             return
+        if self.keyed is not None and pending.key and pending.request.started is None:
+            self.keyed.intents.delete_intent(pending.request)
         for waiter in self.records.discard_unconfirmed(pending.request):
             # the run that it waits for never starts
             self.deadlines.after(0, self.complete_repeat, waiter, None)
--- a/tests/idempotency/test_shared_keys.py
+++ b/tests/idempotency/test_shared_keys.py
@@ -121,6 +121,17 @@
     assert node.service.intents.pending_starts == {} and node.service.intents._open_records == {}
 
 
+def test_a_request_rejected_after_its_window_leaves_no_start_pending():
+    """Guards against starts that stay in memory, as the controller had dropped their records as expired."""
+    short = RequestClass("save", Effect.KEYED, 2 * SECOND, 6 * SECOND, window=1 * SECOND)
+    node = start_node(keyed_class=short)
+    queue_behind_runs(node, 1)
+    node.run_disk_calls()
+    pass_time(node, 2.5)
+    assert node.answers[1][0] == "deferred"
+    assert node.service.intents.pending_starts == {} and node.service.intents._open_records == {}
+
+
 def test_a_slow_intent_of_a_replaced_request_leaves_the_record_of_its_repeat():
     """Guards against a second run after a restart: a slow intent took the record of the repeat along."""
     node = start_node()
