Keep the ids of an earlier process's runs from other requests while they may be reported

Callers would see: the result of an earlier process's run go to another client that uses the run's id (bad clients send "the id of an open request"), while the repeat that waits for it fails; or a result recorded for the wrong one of two keys whose intents have one run id. Cause: outcomes come by run id alone. Ids of adopted runs were not among the ids in use, Interpreter.apply and adopt_run replace whatever has the id, and a second earlier run replaced the first in RecordIndex.earlier_runs. Adopted runs that were never reported also stayed in Interpreter.runs until the process ended. Change: adopted ids are in use until the run is reported or dropped, and dropped runs leave the interpreter's table; a run whose id a request has, or which several intents have, is not adopted: its repeats fail. Left: until the records are loaded (1.5 s at most) a request without a key may have such an id and be served with the earlier run's result, as only the records tell the ids.

--- a/lichencleat/idempotency/earlier_runs.py
+++ b/lichencleat/idempotency/earlier_runs.py
@@ -8,7 +8,7 @@
 from functools import partial
 
 from lichencleat.admission.types import Outcome
-from lichencleat.idempotency.index import RecordIndex
+from lichencleat.idempotency.index import EarlierRun, RecordIndex
 from lichencleat.idempotency.intents import complete_record
 from lichencleat.idempotency.interfaces import PendingRequest, Report, RequestEngine, Timers
 from lichencleat.idempotency.node_time import NodeTime
@@ -43,7 +43,8 @@
     def adopt_all(self) -> None:
         """Subscribes to the interpreter's reports of all earlier runs; called once the index is loaded."""
         for run_id in list(self._index.earlier_runs):
-            self._engine.adopt_run(run_id, partial(self._on_run_ended, run_id))
+            if not self._engine.adopt_run(run_id, partial(self._on_run_ended, run_id)):
+                self._index.resolve_earlier_run(run_id)
         self._engine.end_adoption()
         self._discard_if_interpreter_is_new()
 
@@ -65,8 +66,8 @@
 
         Repeated requests that wait for the result of a dropped run get an error.
         """
-        for key in self._index.discard_overdue_runs(self._time.now()):
-            self._answer_waiting(key, None)
+        for run in self._index.discard_overdue_runs(self._time.now()):
+            self._drop(run)
 
     def _on_run_ended(self, run_id: bytes, outcome: Outcome, took: int, result: bytes) -> None:
         run = self._index.resolve_earlier_run(run_id)
@@ -81,6 +82,10 @@
         written = self._writer.write_result(run.key, run.version, completed)
         written.addBoth(lambda _: self._answer_waiting(run.key, answer))
 
+    def _drop(self, run: EarlierRun) -> None:
+        self._engine.drop_adopted_run(run.record.run_id)
+        self._answer_waiting(run.key, None)
+
     def _answer_waiting(self, key: bytes, result: bytes | None) -> None:
         for case in self._waiting.pop(key, ()):
             self._engine.complete_repeat(case, result)
@@ -100,6 +105,5 @@
         if started_here or started_unix > self._time.last_heartbeat_unix + HEARTBEAT_MARGIN_US:
             count = len(self._index.earlier_runs)
             self._report.note(f"keyed: the interpreter is new: {count} intents stay without a result")
-            self._index.discard_earlier_runs()
-            for key in list(self._waiting):
-                self._answer_waiting(key, None)
+            for run in self._index.discard_earlier_runs():
+                self._drop(run)
--- a/lichencleat/idempotency/index.py
+++ b/lichencleat/idempotency/index.py
@@ -73,6 +73,9 @@
         self.result_cache: OrderedDict[bytes, bytes] = OrderedDict()
         self.cached_bytes = 0
         self.earlier_runs: dict[bytes, EarlierRun] = {}  # by run id
+        self._shared_run_ids: set[bytes] = (
+            set()
+        )  # ids of several earlier runs, so that no report can be assigned
         self.is_loaded = False  # whether all stored records have been read
         self._last_version = 0
 
@@ -175,22 +178,34 @@
         version = self._add_record(key, record)  # the result is read on demand
         deadline = record.due + COMPLETION_DELAY_US
         if record.state == RecordState.OPEN and deadline > now:
-            self.earlier_runs[record.run_id] = EarlierRun(key, record, version, deadline)
+            self._add_earlier_run(EarlierRun(key, record, version, deadline))
         return True
 
-    def discard_earlier_runs(self) -> None:
-        """Drops all earlier runs; called if the interpreter started after them."""
+    def discard_earlier_runs(self) -> list[EarlierRun]:
+        """Drops and returns all earlier runs; called if the interpreter started after them."""
+        runs = list(self.earlier_runs.values())
         self.earlier_runs.clear()
+        return runs
 
-    def discard_overdue_runs(self, now: int) -> list[bytes]:
-        """Drops the runs of the earlier process whose deadline has passed; returns the keys of these runs."""
+    def discard_overdue_runs(self, now: int) -> list[EarlierRun]:
+        """Drops and returns the runs of the earlier process whose deadline has passed."""
         overdue = [run_id for run_id, run in self.earlier_runs.items() if run.deadline <= now]
-        return [self.earlier_runs.pop(run_id).key for run_id in overdue]
+        return [self.earlier_runs.pop(run_id) for run_id in overdue]
 
     def resolve_earlier_run(self, run_id: bytes) -> EarlierRun | None:
         """Removes and returns the earlier run that the interpreter reported; None if the run is unknown."""
         return self.earlier_runs.pop(run_id, None)
 
+    def _add_earlier_run(self, run: EarlierRun) -> None:
+        """Adds an earlier run; of runs with the same id none is added, as a report may be that of either."""
+        run_id = run.record.run_id
+        if run_id in self._shared_run_ids:
+            return
+        if self.earlier_runs.pop(run_id, None) is not None:
+            self._shared_run_ids.add(run_id)
+        else:
+            self.earlier_runs[run_id] = run
+
     def _add_record(self, key: bytes, record: IdempotencyRecord) -> int:
         self._last_version += 1
         row = IndexRow(
--- a/lichencleat/idempotency/interfaces.py
+++ b/lichencleat/idempotency/interfaces.py
@@ -49,8 +49,14 @@
     def set_recording_available(self, able: bool) -> None:
         """Sets whether keyed requests are admitted."""
 
-    def adopt_run(self, ident: bytes, ended: RunCallback) -> None:
-        """Calls `ended` with the outcome of a run that an earlier process (incarnation) started."""
+    def adopt_run(self, ident: bytes, ended: RunCallback) -> bool:
+        """Calls `ended` with the outcome of a run that an earlier process (incarnation) started.
+
+        Returns False if a request of this process has the id of the run: the outcome may be that of either.
+        """
+
+    def drop_adopted_run(self, ident: bytes) -> None:
+        """Stops waiting for the outcome of an adopted run."""
 
     def end_adoption(self) -> None:
         """Drops the interpreter's reports about earlier runs that were not adopted."""
--- a/lichencleat/node/host.py
+++ b/lichencleat/node/host.py
@@ -430,9 +430,26 @@
         pending.awaiting_storage = False
         self.on_run_ended(pending, Outcome.UNREACHABLE, 0, b"")
 
-    def adopt_run(self, ident: bytes, ended: Callable[[Outcome, int, bytes], None]) -> None:
-        """Have `ended` called at the end of a run that an earlier incarnation of this node started."""
-        self.interpreter.adopt_run(ident, ended)
+    def adopt_run(self, ident: bytes, ended: Callable[[Outcome, int, bytes], None]) -> bool:
+        """Have `ended` called at the end of a run that an earlier incarnation of this node started.
+
+        Until then, no request may have the id of the run. Return False if a request has that id already.
+        """
+        if ident in self.pending_ids:
+            return False
+        self.pending_ids.add(ident)
+
+        def on_ended(outcome: Outcome, took: int, result: bytes) -> None:
+            self.pending_ids.discard(ident)
+            ended(outcome, took, result)
+
+        self.interpreter.adopt_run(ident, on_ended)
+        return True
+
+    def drop_adopted_run(self, ident: bytes) -> None:
+        """Stop waiting for the end of an adopted run."""
+        self.pending_ids.discard(ident)
+        self.interpreter.drop_adopted_run(ident)
 
     def end_adoption(self) -> None:
         """Drop the outcomes that were kept for runs still to be adopted."""
--- a/lichencleat/node/interpreter.py
+++ b/lichencleat/node/interpreter.py
@@ -268,6 +268,10 @@
         run = self.runs[ident] = Run(ident, lambda body: None, on_ended)
         run.is_confirmed = True
 
+    def drop_adopted_run(self, ident: bytes) -> None:
+        """Drop an adopted run whose end is no longer waited for."""
+        self.runs.pop(ident, None)
+
     def resolve(self, run: Run, reply: bytes) -> None:
         """Pass the reply to a call to the run that waits for it."""
         self.command(run, line_with_body(b"RESOLVE", run.ident, body=reply))
--- a/tests/idempotency/key_soak.py
+++ b/tests/idempotency/key_soak.py
@@ -204,7 +204,8 @@
         node, host = self.node, self.node.host
         assert not node.service.intents.pending_starts, "starts are left"
         assert not node.service.intents._open_records, "open records are left"
-        assert not len(host.pending_requests) and not host.pending_ids, "requests are left"
+        assert not len(host.pending_requests), "requests are left"
+        assert host.pending_ids == set(node.service.index.earlier_runs), "ids are left"
         assert not host.records.linked, "linked repeats are left"
         assert not any(each.waiters for each in host.records.by_request.values()), "waiters are left"
         assert not node.report.counts["node errors"], "an error was logged"
--- a/tests/idempotency/node_lifecycle.py
+++ b/tests/idempotency/node_lifecycle.py
@@ -54,6 +54,9 @@
         else:
             self.runs[ident] = type("Adopted", (), {"on_ended": staticmethod(ended)})
 
+    def drop_adopted_run(self, ident):
+        self.runs.pop(ident, None)
+
     def stop_run(self, run):
         pass
 
--- a/tests/idempotency/test_record_index.py
+++ b/tests/idempotency/test_record_index.py
@@ -65,10 +65,19 @@
     index.restore(KEY, record(), 0)
     assert index.look_up(KEY, BODY, 0) is LookupResult.AWAITED
     assert index.discard_overdue_runs(6 * SECOND + COMPLETION_DELAY_US - 1) == []
-    assert index.discard_overdue_runs(6 * SECOND + COMPLETION_DELAY_US) == [KEY]
+    overdue = index.discard_overdue_runs(6 * SECOND + COMPLETION_DELAY_US)
+    assert [run.key for run in overdue] == [KEY]
     assert index.look_up(KEY, BODY, 0) is LookupResult.UNKNOWN
     index.restore(b"l" * 16, record(run_id=b"j"), 0)
     assert index.resolve_earlier_run(b"j").key == b"l" * 16 and index.resolve_earlier_run(b"j") is None
     index.restore(b"m" * 16, record(run_id=b"m"), 0)
     index.discard_earlier_runs()
     assert index.look_up(b"m" * 16, BODY, 0) is LookupResult.UNKNOWN
+
+
+def test_index_assigns_no_report_to_runs_that_share_an_id(index):
+    """Guards against a result that is recorded for the wrong key, as a bad client used an id twice."""
+    for name in (b"1", b"2", b"3"):
+        index.restore(name * 16, record(run_id=b"i"), 0)
+    assert index.resolve_earlier_run(b"i") is None
+    assert index.look_up(b"1" * 16, BODY, 0) is LookupResult.UNKNOWN
--- a/tests/idempotency/test_shared_keys.py
+++ b/tests/idempotency/test_shared_keys.py
@@ -242,3 +242,45 @@
     assert runs_of(node, b"keyx") == 1
     assert set(node.answers) == {1, 2, 3, 4} - set(withdrawn)
     assert set(node.answers.values()) == {("honoured", b"result 1")}
+
+
+def test_no_request_gets_the_id_of_an_earlier_run_while_that_may_be_reported():
+    """Guards against an earlier run's result that goes to another client, which reuses the id of the run."""
+    node = start_node()
+    node.send_request(1)
+    node.run_disk_calls()
+    run_id = node.cases[1].ident
+    node = restart(node)
+    node.send_request(2)
+    assert run_id in node.host.pending_ids
+    node.complete_runs()
+    settle(node)
+    assert run_id not in node.host.pending_ids and node.answers[2] == ("honoured", b"result 1")
+
+
+def test_an_earlier_run_that_is_never_reported_leaves_nothing():
+    """Guards against ids and adopted runs that stay in memory after the last moment for a report."""
+    node = start_node()
+    node.send_request(1)
+    node.run_disk_calls()
+    node = restart(node)
+    node.send_request(2)
+    pass_time(node, 8.5)
+    assert node.answers[2] == ("given up", b"")
+    assert not node.host.pending_ids and not node.interpreter.runs
+
+
+def test_an_earlier_run_whose_id_a_request_has_by_now_is_not_adopted():
+    """Guards against the end of a running request's run that is taken for that of an earlier run."""
+    node = start_node()
+    node.send_request(1)
+    node.run_disk_calls()
+    run_id = node.cases[1].ident
+    restarted = node.crash()
+    restarted.start(load=False)
+    restarted.host.pending_ids.add(run_id)  # of a request without a key, which does not wait for the index
+    restarted.load_index()
+    assert run_id not in restarted.interpreter.runs and not restarted.service.index.earlier_runs
+    restarted.send_request(2)
+    restarted.advance(0.1)
+    assert restarted.answers[2] == ("given up", b"") and runs_of(node, b"keyx") == 1
