Let the record of an attempt that never ran cover later ones while a repeat may run for it

Callers could see, with or without a disk: one key run twice in its window, 20 ms apart. Cause: a confirmed record covers the attempts of its own window. If its attempt ends without a run (the interpreter never got it), a repeat that came within that window takes its place and has a window of its own, but an attempt read in the same turn that came after the first window found nothing and counted as new. Change: while the attempt has not run and a linked repeat may take its place, its record covers every attempt; a repeat that takes a place takes over the other linked repeats with it.

--- a/lichencleat/node/receipts.py
+++ b/lichencleat/node/receipts.py
@@ -27,11 +27,20 @@
     def covers(self, arrived: int) -> bool:
         """Return whether another attempt that arrived at `arrived` (µs) repeats the attempt of this record.
 
-        An unconfirmed record covers every attempt until its request ends.
+        An unconfirmed record covers every attempt until its request ends. A record whose attempt has not run
+        covers every attempt while a repeat may take the place of that attempt.
         """
         if self.valid_until is None:
             return self.request.state is not RequestState.ENDED
-        return arrived <= self.valid_until
+        return arrived <= self.valid_until or self.may_be_passed_on()
+
+    def may_be_passed_on(self) -> bool:
+        """Return whether the attempt has not run, and a repeat may take its place and run."""
+        return self.request.started is None and self.next_repeat() is not None
+
+    def next_repeat(self) -> Request | None:
+        """Return the oldest linked repeat that waits for a decision."""
+        return next((each for each in self.repeats if each.state is RequestState.QUEUED), None)
 
 
 class IdempotencyRecords:
@@ -65,9 +74,15 @@
         return sorted(covering, key=lambda each: each.started is not None)
 
     def add(self, key: bytes, request: Request) -> IdempotencyRecord:
-        """Add an unconfirmed record; earlier records of the key stay, as repeats of them may be read late."""
+        """Add an unconfirmed record; earlier records of the key stay, as repeats of them may be read late.
+
+        A repeat that takes the place of another attempt also takes over the repeats linked to that attempt.
+        """
         record = self.by_request[request] = IdempotencyRecord(key, request)
         self.by_key.setdefault(key, []).append(record)
+        if request in self.linked:
+            record.repeats = self.linked[request]
+            self.unlink(request)
         return record
 
     def set_expiry(self, now: int, key: bytes, request: Request, validity_us: int) -> None:
@@ -136,7 +151,7 @@
         The oldest linked repeat that waits for a decision takes the place of the request, so that an attempt
         that is read later is linked to that repeat.
         """
-        self.linked.pop(request, {}).pop(request, None)
+        self.unlink(request)
         record = self.by_request.get(request)
         if record is None or record.valid_until is not None:
             return []
@@ -144,13 +159,15 @@
         self._pass_on(record)
         return list(record.waiters)
 
+    def unlink(self, request: Request) -> None:
+        """Unlink a repeat from its original attempt, if it is linked to one."""
+        self.linked.pop(request, {}).pop(request, None)
+
     def _pass_on(self, record: IdempotencyRecord) -> None:
         """Let the oldest repeat of a dropped record take the place of the record's attempt."""
-        repeat = next((each for each in record.repeats if each.state is RequestState.QUEUED), None)
+        repeat = record.next_repeat()
         if repeat is None:
             return
-        self.linked.pop(repeat).pop(repeat)
         record.request.replacement = repeat
         repeat.original = repeat.other_originals.pop() if repeat.other_originals else None
-        successor = self.by_request.get(repeat) or self.add(record.key, repeat)
-        successor.repeats = record.repeats
+        self.add(record.key, repeat)
--- a/tests/node/test_windows.py
+++ b/tests/node/test_windows.py
@@ -25,7 +25,7 @@
 class SimulatedNode:
     """One node's request engine, with a record of attempts, runs and answers."""
 
-    def __init__(self, window, rng):
+    def __init__(self, window, rng, cores=1):
         self.reactor, self.rng, self.attempts = Reactor(), rng, []
         self.reactor.advance(1_000)
         self.now = lambda: int(self.reactor.seconds() * SECOND)
@@ -34,7 +34,8 @@
         deadlines = Deadlines(self.reactor, report.log_exception)
         self.request_class = RequestClass("save", Effect.KEYED, 700_000, DEADLINE, window=window)
         machine = NodeSpec(
-            cores=1,
+            cores=cores,
+            max_concurrency_per_core=8.0 if cores > 1 else 2.0,
             memory_kb=2_000.0,
             running_memory_factor=4,
             preemption=Preemption.ABORT,
@@ -155,3 +156,40 @@
     assert len(node.started) == 1
     served = [attempt for attempt in node.attempts if attempt["answers"]]
     assert [attempt["answers"][0][0] for attempt in served] == [Answer.SERVED] * (4 - len(withdrawn))
+
+
+def test_attempts_around_the_end_of_a_window_run_once_though_the_first_never_ran():
+    """Guards against two runs of a key, a late repeat and a later attempt: the record covered only one."""
+    window = 100_000
+    node = SimulatedNode(window, random.Random(1))
+    node.rng.choice = lambda options: options[0]
+    node.send_request()
+    node.advance(window + node.engine.node.timing.guard + 10_000)
+    (run,) = node.interpreter.runs.values()
+    node.rng.choice = lambda options: Outcome.UNREACHABLE if Outcome.UNREACHABLE in options else run
+    node.end_run()
+    node.rng.choice = lambda options: 20_000 if 20_000 in options else KEYS[0]  # within the window
+    node.send_request()
+    node.rng.choice = lambda options: options[0]  # 20 ms later, after the window
+    node.send_request()
+    for _ in range(5):
+        node.advance(20_000)
+        node.end_run()
+    check_invariants(node, window)
+    assert [attempt["answers"][0][0] for attempt in node.attempts[1:]] == [Answer.SERVED] * 2
+
+
+@pytest.mark.parametrize("window", [100_000, 900_000, DEADLINE, 5_000_000])
+def test_random_attempts_read_in_few_turns_run_a_key_once_per_window(window):
+    """Guards against attempts that miss each other where many are read and taken back in one turn."""
+    for seed in range(100):
+        rng = random.Random(f"few turns {window} {seed}")
+        node = SimulatedNode(window, rng, cores=rng.choice([1, 2, 4]))
+        for _ in range(60):
+            rng.choice([node.send_request] * 4 + [node.end_run] + [node.disconnect_caller] * 2)()
+            node.advance(rng.choice([0] * 8 + [5_000, 60_000, 200_000, window // 2]))
+        for _ in range(40):
+            node.end_run()
+            node.advance(100_000)
+        check_invariants(node, window)
+        assert not len(node.engine.pending_requests) and not node.engine.records.linked
