--- a/lichencleat/node/host.py
+++ b/lichencleat/node/host.py
@@ -28,8 +28,8 @@
 )
 from lichencleat.node.catalogue import Call, Catalogue
 from lichencleat.node.deadlines import Deadlines
+from lichencleat.node.idempotency_records import IdempotencyRecords
 from lichencleat.node.interpreter import Interpreter, Run
-from lichencleat.node.receipts import IdempotencyRecords
 from lichencleat.node.report import Report
 from lichencleat.node.slots import Slots
 
--- a/tests/node/test_records_of_keys.py
+++ b/tests/node/test_records_of_keys.py
@@ -3,7 +3,7 @@
 from net_parts import SECOND
 
 from lichencleat.admission.types import Request, RequestState
-from lichencleat.node.receipts import MAX_READ_DELAY, IdempotencyRecords
+from lichencleat.node.idempotency_records import MAX_READ_DELAY, IdempotencyRecords
 from lichencleat.node.requests import MAX_ARRIVAL_BEHIND
 
 
