--- a/lichencleat/node/dispatchers.py
+++ b/lichencleat/node/dispatchers.py
@@ -15,7 +15,8 @@
 from lichencleat.node.catalogue import max_catalogue_links
 from lichencleat.node.deadlines import Deadline, Deadlines
 from lichencleat.node.framing import BrokenFramingError
-from lichencleat.node.host import Answer, PendingRequest, RequestEngine
+from lichencleat.node.host import RequestEngine
+from lichencleat.node.pending_request import Answer, PendingRequest
 from lichencleat.node.report import Report
 from lichencleat.node.requests import BadRequestError, read_request
 from lichencleat.node.resp import ArrayReader, array
--- a/lichencleat/node/host.py
+++ b/lichencleat/node/host.py
@@ -10,7 +10,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from enum import Enum
 from functools import partial
 from typing import Any, Protocol
 
@@ -22,7 +21,6 @@
     Effect,
     NodeSpec,
     Outcome,
-    Request,
     RequestState,
     ResourceUsage,
 )
@@ -30,6 +28,7 @@
 from lichencleat.node.deadlines import Deadlines
 from lichencleat.node.idempotency_records import IdempotencyRecords
 from lichencleat.node.interpreter import Interpreter, Run
+from lichencleat.node.pending_request import Answer, PendingRequest
 from lichencleat.node.report import Report
 from lichencleat.node.slots import Slots
 
@@ -41,46 +40,6 @@
 ROUND_RETRY_DELAY = 50_000  # µs from a round of decisions that raised an error to the next round
 
 
-class Answer(Enum):
-    """The kinds of answers to a request; the values are names of counters."""
-
-    SERVED = "honoured"
-    REJECTED = "deferred"
-    FAILED = "given up"
-
-
-class PendingRequest:
-    """A request in flight, with the state that the engine needs to carry out decisions on it."""
-
-    __slots__ = (
-        "request",
-        "ident",
-        "body",
-        "key",
-        "reply",
-        "open",
-        "run",
-        "awaiting_storage",
-        "call",
-        "call_body",
-        "used_links",
-    )
-
-    def __init__(
-        self, request: Request, ident: bytes, body: bytes, key: bytes, reply: Callable[..., None]
-    ) -> None:
-        self.request, self.ident, self.body, self.key = request, ident, body, key
-        # called with the Answer, the result, the delay before a retry (µs), and whether to retry nowhere else
-        self.reply = reply
-        self.open = True  # the request is not answered yet, and its caller still waits
-        self.run: Run | None = None
-        self.awaiting_storage = False  # the start or the outcome of the run waits for a write to disk
-        self.call: Call | None = None
-        self.call_body = b""
-        # Catalogue connections that carried a call of this request; its next call uses another connection.
-        self.used_links: list[Any] = []
-
-
 class ClientListener(Protocol):
     """The methods of a listener for clients that the engine calls."""
 
--- a/lichencleat/node/requests.py
+++ b/lichencleat/node/requests.py
@@ -7,7 +7,8 @@
 from hashlib import blake2b
 
 from lichencleat.admission.types import Effect, Request
-from lichencleat.node.host import PendingRequest, RequestEngine
+from lichencleat.node.host import RequestEngine
+from lichencleat.node.pending_request import PendingRequest
 
 MAX_BODY = 2_048  # bytes of a request's body; a limit of the protocol
 # µs by which a stated arrival time may be ahead of this process's clock; both clocks are the same machine's
--- a/lichencleat/router/door.py
+++ b/lichencleat/router/door.py
@@ -12,7 +12,7 @@
 from lichencleat.admission.types import NodeSpec
 from lichencleat.node.deadlines import Deadline, Deadlines
 from lichencleat.node.dispatchers import MAX_OPEN_REQUESTS, Connection, DispatcherListener
-from lichencleat.node.host import Answer, PendingRequest
+from lichencleat.node.pending_request import Answer, PendingRequest
 from lichencleat.node.report import Report
 from lichencleat.node.requests import BadRequestError, read_request
 from lichencleat.node.slots import Slots
--- a/tests/idempotency/node_lifecycle.py
+++ b/tests/idempotency/node_lifecycle.py
@@ -11,7 +11,8 @@
 from lichencleat.idempotency.index import RecordIndex
 from lichencleat.idempotency.service import IdempotencyService
 from lichencleat.node.deadlines import Deadlines
-from lichencleat.node.host import PendingRequest, RequestEngine
+from lichencleat.node.host import RequestEngine
+from lichencleat.node.pending_request import PendingRequest
 from lichencleat.node.report import Report
 from lichencleat.store.capacity import StoreLimits
 from lichencleat.store.engine import Engine
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -10,8 +10,9 @@
 from lichencleat.node.catalogue import Catalogue
 from lichencleat.node.deadlines import Deadlines
 from lichencleat.node.dispatchers import Connection, DispatcherListener
-from lichencleat.node.host import PendingRequest, RequestEngine
+from lichencleat.node.host import RequestEngine
 from lichencleat.node.interpreter import Interpreter, Link, Run
+from lichencleat.node.pending_request import PendingRequest
 from lichencleat.node.report import Report
 
 
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -4,8 +4,8 @@
 from net_parts import CHECK, ID, REQUEST, SECOND, Transport
 
 from lichencleat.node.dispatchers import MAX_BAD_ARRAYS, DispatcherListener
-from lichencleat.node.host import Answer
 from lichencleat.node.membership import Membership
+from lichencleat.node.pending_request import Answer
 from lichencleat.node.requests import digest_parts
 
 
--- a/tests/node/test_ends.py
+++ b/tests/node/test_ends.py
@@ -5,7 +5,7 @@
 
 from lichencleat.node.catalogue import max_catalogue_links
 from lichencleat.node.dispatchers import CONNECTIONS_PER_SPARE, RESERVED_DESCRIPTORS, DispatcherListener
-from lichencleat.node.host import Answer
+from lichencleat.node.pending_request import Answer
 
 
 def test_near_the_limit_the_oldest_silent_connection_closes_and_accepting_pauses(connection, reactor):
--- a/tests/node/test_host.py
+++ b/tests/node/test_host.py
@@ -4,8 +4,8 @@
 from net_parts import ID, SECOND
 
 from lichencleat.admission.types import Action, Decision, Outcome, Request
-from lichencleat.node.host import Answer, PendingRequest
 from lichencleat.node.interpreter import Run
+from lichencleat.node.pending_request import Answer, PendingRequest
 
 
 def test_status_line(engine, pending):
--- a/tests/node/test_tenants.py
+++ b/tests/node/test_tenants.py
@@ -20,7 +20,7 @@
 from lichencleat.config_distribution.terms import Change, PagesAnswer, SnapshotHead
 from lichencleat.node.assembly import RealNode
 from lichencleat.node.config import read_start_settings
-from lichencleat.node.host import Answer
+from lichencleat.node.pending_request import Answer
 from lichencleat.node.report import Report
 from lichencleat.node.tenants import DistributedConfig, Tenants
 from lichencleat.store.errors import StoreError
--- a/tests/node/test_windows.py
+++ b/tests/node/test_windows.py
@@ -13,8 +13,9 @@
 from lichencleat.admission.types import Effect, NodeSpec, Outcome, Preemption, Request, RequestClass
 from lichencleat.node.catalogue import Catalogue
 from lichencleat.node.deadlines import Deadlines
-from lichencleat.node.host import Answer, PendingRequest, RequestEngine
+from lichencleat.node.host import RequestEngine
 from lichencleat.node.interpreter import Interpreter
+from lichencleat.node.pending_request import Answer, PendingRequest
 from lichencleat.node.report import Report
 
 DEADLINE = 1_500_000  # µs
