Let a repeat take the place of all attempts that it repeats, and link attempts to any undecided repeat

(2) A repeat of two attempts that ended without a run took the place of the older alone (find_original dropped the other from its list), so a repeat of the newer one ran beside it. Change: a record covers every attempt while an undecided repeat is linked to it, whatever became of its own attempt: sharing the result of another try is always allowed. IdempotencyRecords.replace puts the repeat in the place of all its attempts; find_original looks at the attempts that now stand for them and keeps the others.

--- a/lichencleat/admission/records.py
+++ b/lichencleat/admission/records.py
@@ -54,11 +54,14 @@
         """Let `request`, a repeat, take the place of the attempt `original`, which ended without a run.
 
         Prevents two runs when two repeats of one rejected attempt are read together: the first repeat
-        replaces the attempt, and the second repeat counts as a repeat of the first one.
+        replaces the attempt, and the second repeat counts as a repeat of the first one. `request` replaces
+        all its earlier attempts, as none of them ran: the second repeat may be one of any of them.
         """
-        original.replacement = request
+        for each in (*current_originals(request), original):
+            each.replacement = request
+            self.expiry.pop(each, None)
         request.original = None
-        self.expiry.pop(original, None)
+        request.other_originals = []
 
     def may_start(self, request: Request) -> bool:
         """Return whether a request has the record that it needs before it runs."""
@@ -71,17 +74,33 @@
     If a repeat has taken the place of an earlier attempt, that repeat is returned. Several attempts with one
     key may be read out of order. A repeat runs only if each earlier attempt has ended without a run.
     """
-    original = request.original
-    while original is not None:
-        if original.replacement is not None:
-            original = original.replacement
-        elif original.state is RequestState.ENDED and original.started is None and request.other_originals:
-            original = request.other_originals.pop()
-        else:
-            break
+    if request.original is None:
+        return None
+    originals = current_originals(request)
+    if not originals:
+        return None
+    unfinished_or_run = [
+        each for each in originals if each.state is not RequestState.ENDED or each.started is not None
+    ]
+    original = (unfinished_or_run or originals)[-1]
+    request.other_originals = [each for each in originals if each is not original]
     return original
 
 
+def current_originals(request: Request) -> list[Request]:
+    """Return the earlier attempts of a request, or the repeats that have taken their places."""
+    if request.original is None:
+        return []
+    originals = [_last_replacement(each) for each in (*request.other_originals, request.original)]
+    return [each for each in originals if each is not request]
+
+
+def _last_replacement(request: Request) -> Request:
+    while request.replacement is not None:
+        request = request.replacement
+    return request
+
+
 def has_unrepeatable_run(request: Request) -> bool:
     """Return whether a request has started and must not run again."""
     return request.started is not None and request.request_class.effect is not Effect.IDEMPOTENT
--- a/lichencleat/node/idempotency_records.py
+++ b/lichencleat/node/idempotency_records.py
@@ -27,16 +27,13 @@
     def covers(self, arrived: int) -> bool:
         """Return whether another attempt that arrived at `arrived` (µs) repeats the attempt of this record.
 
-        An unconfirmed record covers every attempt until its request ends. A record whose attempt has not run
-        covers every attempt while a repeat may take the place of that attempt.
+        An unconfirmed record covers every attempt until its request ends. A record with a repeat that waits
+        for a decision covers every attempt: if the record's attempt never ran, that repeat may run.
         """
-        if self.valid_until is None:
-            return self.request.state is not RequestState.ENDED
-        return arrived <= self.valid_until or self.may_be_passed_on()
-
-    def may_be_passed_on(self) -> bool:
-        """Return whether the attempt has not run, and a repeat may take its place and run."""
-        return self.request.started is None and self.next_repeat() is not None
+        if self.valid_until is None and self.request.state is not RequestState.ENDED:
+            return True
+        is_in_window = self.valid_until is not None and arrived <= self.valid_until
+        return is_in_window or self.next_repeat() is not None
 
     def next_repeat(self) -> Request | None:
         """Return the oldest linked repeat that waits for a decision."""
--- a/tests/node/test_windows.py
+++ b/tests/node/test_windows.py
@@ -159,7 +159,8 @@
     assert [attempt["answers"][0][0] for attempt in served] == [Answer.SERVED] * (4 - len(withdrawn))
 
 
-def test_attempts_around_the_end_of_a_window_run_once_though_the_first_never_ran():
+@pytest.mark.parametrize("ends_first", [True, False])
+def test_attempts_around_the_end_of_a_window_run_once_though_the_first_never_ran(ends_first):
     """Guards against two runs of a key, a late repeat and a later attempt: the record covered only one."""
     window = 100_000
     node = SimulatedNode(window, random.Random(1))
@@ -167,12 +168,20 @@
     node.send_request()
     node.advance(window + node.engine.node.timing.guard + 10_000)
     (run,) = node.interpreter.runs.values()
-    node.rng.choice = lambda options: Outcome.UNREACHABLE if Outcome.UNREACHABLE in options else run
-    node.end_run()
+
+    def lose_run():
+        node.rng.choice = lambda options: Outcome.UNREACHABLE if Outcome.UNREACHABLE in options else run
+        node.end_run()
+
+    if ends_first:
+        lose_run()
     node.rng.choice = lambda options: 20_000 if 20_000 in options else KEYS[0]  # within the window
     node.send_request()
     node.rng.choice = lambda options: options[0]  # 20 ms later, after the window
     node.send_request()
+    if not ends_first:
+        lose_run()
+    node.rng.choice = lambda options: options[0]
     for _ in range(5):
         node.advance(20_000)
         node.end_run()
